--- a/ospreytide/__init__.py
+++ b/harrieryoke/__init__.py
@@ -1,4 +1,4 @@
-"""ospreytide: the decisions of a router before workers that keep only some of many programs loaded."""
+"""harrieryoke: the decisions of a router before workers that keep only some of many programs loaded."""
 
 from .brain import Router
 from .interface import (
--- a/ospreytide/benchlink.py
+++ b/harrieryoke/wirehost.py
@@ -307,7 +307,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, ValueError, KeyError, TypeError, AttributeError, binascii.Error) as error:
-        print(f"ospreytide: malformed input: {error}", file=sys.stderr)
+        print(f"harrieryoke: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from ospreytide import interface as i
-from ospreytide.brain import Router
+from harrieryoke import interface as i
+from harrieryoke.brain import Router
 
 SAFE = i.RequestClass("look", 500, 2000, 1.0, 0.2, i.Effect.SAFE)
 KEYED = i.RequestClass("price", 500, 2000, 2.0, 0.2, i.Effect.KEYED, i.Group.CELL, 1500)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ospreytide import interface as i
-from ospreytide.brain import Router
+from harrieryoke import interface as i
+from harrieryoke.brain import Router
 
 from .rig import SETTINGS, workers
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-BRAIN = (ROOT / "ospreytide" / "brain.py").read_text()
+BRAIN = (ROOT / "harrieryoke" / "brain.py").read_text()
 
 
 def test_the_decision_module_stays_within_its_pages() -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ospreytide import interface as i
+from harrieryoke import interface as i
 
 from .rig import PROOF, SETTINGS, Rig, loads, sends, workers
 
--- a/tests/test_benchlink.py
+++ b/tests/test_wirehost.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from ospreytide import benchlink
-from ospreytide import interface as i
-from ospreytide.brain import Router
+from harrieryoke import wirehost
+from harrieryoke import interface as i
+from harrieryoke.brain import Router
 
 INFO = json.dumps({
     "classes": [{"name": "a", "goal-time": 500, "hard-limit": 2000, "repeat": "repeatable"}],
@@ -27,7 +27,7 @@
 
 def talk(lines: list[str]) -> list[str]:
     sink = io.StringIO()
-    benchlink.serve((line + "\n" for line in lines), sink)
+    wirehost.serve((line + "\n" for line in lines), sink)
     return sink.getvalue().splitlines()
 
 
@@ -49,7 +49,7 @@
 
 
 def test_reports_and_notes_are_read_by_name() -> None:
-    e = benchlink.READERS["SETTLED"]("5 1 Ok 18.5 25 11 0 7,-,1".split(" "), ("concurrent", "x0", "unheard"))
+    e = wirehost.READERS["SETTLED"]("5 1 Ok 18.5 25 11 0 7,-,1".split(" "), ("concurrent", "x0", "unheard"))
     assert isinstance(e, i.AttemptEnded)
     assert e.found is i.Found.COPY and e.crowd == 3 and e.report == i.LoadReport(held=7.0)
 
@@ -73,8 +73,8 @@
 ])  # fmt: skip
 def test_malformed_input_ends_with_a_plain_message(lines: list[str]) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "ospreytide.benchlink"], input="\n".join(lines) + "\n", text=True,
+        [sys.executable, "-m", "harrieryoke.wirehost"], input="\n".join(lines) + "\n", text=True,
         capture_output=True, check=False,
     )  # fmt: skip
     assert run.returncode == 2
-    assert run.stderr.startswith("ospreytide: malformed input") and "Traceback" not in run.stderr
+    assert run.stderr.startswith("harrieryoke: malformed input") and "Traceback" not in run.stderr
