--- /dev/null
+++ b/harrieryoke/core/__init__.py
@@ -0,0 +1,1 @@
+"""The invoker's core: requests, attempts, orders and outcomes. It knows no wire."""
--- /dev/null
+++ b/harrieryoke/core/module.py
@@ -0,0 +1,201 @@
+"""The module actor: gives the decision module what has come in and carries out what it says, in order."""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from .. import interface as i
+from ..brain import Router
+from ..limits import Limits
+from ..log import Log
+from .actor import Actor, now_ms
+from .records import (
+    Attempt,
+    Call,
+    Check,
+    Front,
+    HostPort,
+    Listed,
+    Order,
+    Stopping,
+    Taken,
+    Task,
+    TaskEnded,
+    Withdrawn,
+)
+from .table import RequestTable
+
+
+class ModuleActor(Actor):
+    """Owns the router, the request table, the timers and what it was told of the hosts' mailboxes."""
+
+    def __init__(self, settings: i.Settings, seed: int, limits: Limits, log: Log,
+                 clock: Callable[[], float] = now_ms) -> None:  # fmt: skip
+        super().__init__("module", limits.module_mailbox, log)
+        self.settings, self.seed, self.clock = settings, seed, clock
+        self.router = Router(settings, seed)
+        self.table = RequestTable(settings, limits)
+        self.ports: dict[int, HostPort] = {}
+        self.entries: dict[int, i.WorkerEntry] = {}
+        self.timers: list[tuple[float, str]] = []
+        self.echoes: list[i.Event] = []  # what the table itself ended: heard in the next round
+        self.orders_from = 0.0  # after a fault in the module: no load orders before this
+        self.readers: dict[type, Callable[[Any, float], i.Event | None]] = {
+            Taken: self.taken, Withdrawn: self.withdrawn, TaskEnded: self.task_ended,
+            Listed: self.listed, Stopping: self.stopping}  # fmt: skip
+        self.doers: dict[type, Callable[[Any, float], None]] = {
+            i.StartAttempt: self.start_attempt, i.CancelAttempt: self.cancel_attempt, i.Refuse: self.refuse,
+            i.Fail: self.fail, i.OrderCopies: self.order_copies, i.DropCopies: self.drop_copies,
+            i.Probe: self.probe, i.SetTimer: self.set_timer, i.Note: self.note}  # fmt: skip
+
+    # --- what fronts and hosts say ---
+
+    def offer(self, call: Call, front: Front) -> bool:
+        """A front's request; waits for room, so that a full mailbox slows the fronts instead of losing."""
+        return self.push(Taken(call, front))
+
+    def withdraw(self, call: Call) -> bool:
+        return self.push(Withdrawn(call))
+
+    # --- the loop ---
+
+    def run(self) -> None:
+        stepped = 0.0
+        while not self.over:
+            first = self.take(self.next_time() - self.clock())
+            pause = stepped + self.settings.tick - self.clock()
+            if 0 < pause <= self.settings.tick:
+                gevent.sleep(pause / 1000)
+            stepped = self.clock()
+            self.step(stepped, first + self.take(0.0))
+
+    def next_time(self) -> float:
+        """At most a second ahead, so that a step of the system's clock cannot put it to sleep for long."""
+        first = min((at for at, _ in self.timers), default=float("inf")) if not self.echoes else 0.0
+        return min(first, self.table.next_time(), self.clock() + 1000.0)
+
+    def step(self, now: float, messages: list[Any]) -> None:
+        """One round: events in the order they came, one call of the module, its actions in order."""
+        events, self.echoes = self.echoes, []
+        events += [e for m in messages if (e := self.readers[type(m)](m, now)) is not None]
+        events += [e for t in self.table.expired(now) if (e := self.event_of(t, now)) is not None]
+        events += [i.TimerFired(name) for at, name in self.timers if at <= now]
+        self.timers = [t for t in self.timers if t[0] > now]
+        self.decide(now, events)
+        for entry in self.table.overdue(self.clock()):
+            # guards against a module that leaves a request unanswered at its time: the table answers
+            self.table.counts["guarded"] += 1
+            self.log("guarded", f"{entry.call.rid} had no answer from the module at its time")
+            self.table.give_up(entry)
+            self.echoes.append(i.RequestDropped(entry.number))
+
+    def decide(self, now: float, events: list[i.Event]) -> None:
+        if not events:
+            return
+        try:
+            actions = self.router.handle(now, events)
+            for action in actions:
+                self.doers[type(action)](action, now)
+        except Exception:
+            # guards against a fault in the module: what is open is answered, and a fresh module goes on
+            self.log("module-fault", traceback.format_exc().strip().replace("\n", " | "))
+            self.start_afresh(now)
+
+    def start_afresh(self, now: float) -> None:
+        for entry in list(self.table.entries.values()):
+            self.table.give_up(entry)
+        for task in list(self.table.tasks):
+            self.table.revoke(task, i.Outcome.CANCELLED)
+        self.seed += 1
+        self.router, self.timers = Router(self.settings, self.seed), []
+        self.orders_from = now + self.settings.ration_window  # the fresh one does not know of earlier orders
+        listed = i.WorkersListed(i.ListScope.REMEMBERED, tuple(self.entries.values()))
+        for action in self.router.handle(now, [listed]):
+            self.doers[type(action)](action, now)
+
+    # --- messages into events ---
+
+    def taken(self, m: Taken, now: float) -> i.Event | None:
+        return self.table.take(m.call, m.front, now)
+
+    def withdrawn(self, m: Withdrawn, now: float) -> i.Event | None:
+        return self.table.withdraw(m.call)
+
+    def listed(self, m: Listed, now: float) -> i.Event | None:
+        self.ports.update(m.ports)
+        self.entries.update({e.worker: e for e in m.event.workers})
+        return m.event
+
+    def stopping(self, m: Stopping, now: float) -> i.Event | None:
+        self.table.stop_by(m.by)
+        return None
+
+    def task_ended(self, m: TaskEnded, now: float) -> i.Event | None:
+        ended = self.table.settle(m)
+        return None if ended is None else self.event_of(ended, now)
+
+    def event_of(self, m: TaskEnded, now: float) -> i.Event | None:
+        """A task's end as the module hears it; the first OK is the request's answer."""
+        task, took = m.task, max(0.0, now - m.task.sent)
+        if isinstance(task, Order):
+            return i.OrderEnded(task.worker, task.function, m.outcome, m.copies, took)
+        if not isinstance(task, Attempt):
+            return i.ProbeEnded(task.worker, m.outcome, took, m.report)
+        entry = self.table.entries.get(task.request)
+        if entry is not None and m.outcome is i.Outcome.OK:
+            self.table.serve(entry, m.body)
+        return i.AttemptEnded(
+            task.request, task.worker, task.number, m.outcome, took, task.request not in self.table.entries,
+            m.found, m.load_failed, m.crowd, m.report,
+        )  # fmt: skip
+
+    # --- actions ---
+
+    def echo(self, ended: TaskEnded | None, now: float) -> None:
+        if ended is not None and (event := self.event_of(ended, now)) is not None:
+            self.echoes.append(event)
+
+    def begin(self, task: Task, now: float) -> None:
+        ended = self.table.begin(task, self.ports.get(task.worker))
+        self.echo(ended, now)
+
+    def start_attempt(self, a: i.StartAttempt, now: float) -> None:
+        if entry := self.table.entries.get(a.request):
+            self.begin(self.table.attempt(entry, a.worker, a.stop_at or entry.due, now), now)
+
+    def cancel_attempt(self, a: i.CancelAttempt, now: float) -> None:
+        for task in self.table.tasks:
+            if isinstance(task, Attempt) and (task.request, task.number) == (a.request, a.attempt):
+                return self.echo(self.table.revoke(task, i.Outcome.CANCELLED), now)
+
+    def refuse(self, a: i.Refuse, now: float) -> None:
+        if entry := self.table.entries.get(a.request):
+            self.table.refuse(entry, a.retry_after)
+
+    def fail(self, a: i.Fail, now: float) -> None:
+        if entry := self.table.entries.get(a.request):
+            self.table.fail(entry, "not served")
+
+    def order_copies(self, a: i.OrderCopies, now: float) -> None:
+        order = Order(a.worker, now + self.settings.order_timeout, now, function=a.function, copies=a.copies)
+        if a.copies and now < self.orders_from:
+            self.echo(TaskEnded(order, i.Outcome.FULL), now)
+        else:
+            self.begin(order, now)
+
+    def drop_copies(self, a: i.DropCopies, now: float) -> None:
+        if port := self.ports.get(a.worker):
+            port.drop(a.function)
+
+    def probe(self, a: i.Probe, now: float) -> None:
+        self.begin(Check(a.worker, now + self.settings.connect_timeout, now), now)
+
+    def set_timer(self, a: i.SetTimer, now: float) -> None:
+        self.timers.append((a.at, a.name))
+
+    def note(self, a: i.Note, now: float) -> None:
+        self.log("module-note", a.text)
--- /dev/null
+++ b/harrieryoke/core/records.py
@@ -0,0 +1,119 @@
+"""What the core deals in, and the two interfaces through which the world reaches it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..interface import Found, LoadReport, Outcome, WorkersListed
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One request as a front took it. `rid` is 16 hex digits; `due` is when its client stops waiting."""
+
+    rid: str
+    class_index: int
+    function: str
+    due: float
+    body: bytes = b""
+    key: str | None = None
+    tenant: int | None = None
+    memory: float = 0.0
+    lanes: int = 1
+    load_time: float | None = None
+    taken: float = 0.0
+
+
+class Front(Protocol):
+    """Where a request came from and its one final answer goes."""
+
+    def served(self, call: Call, body: bytes) -> None: ...
+
+    def refused(self, call: Call, retry_after: float | None) -> None: ...
+
+    def failed(self, call: Call, reason: str) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """What is on its way to a model host. The table alone clears `wanted`, the host alone sets `begun`."""
+
+    worker: int
+    stop_at: float
+    sent: float
+    wanted: bool = True
+    begun: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt(Task):
+    call: Call = field(kw_only=True)
+    request: int = 0
+    number: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Order(Task):
+    function: str = ""
+    copies: int = 1
+
+
+@dataclass(slots=True, eq=False)
+class Check(Task):
+    """A probe."""
+
+
+@dataclass(slots=True)
+class TaskEnded:
+    """The one end of a task, told by its model host."""
+
+    task: Task
+    outcome: Outcome
+    body: bytes = b""
+    found: Found | None = None
+    load_failed: bool = False
+    crowd: int | None = None
+    copies: int = 0
+    report: LoadReport | None = None
+
+
+class HostPort(Protocol):
+    """A model host's mailbox. `begin` says whether it took the task."""
+
+    def begin(self, task: Task) -> bool: ...
+
+    def revoke(self, task: Task) -> None: ...
+
+    def drop(self, function: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Taken:
+    """A front took a call."""
+
+    call: Call
+    front: Front
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    """The client left: nothing may be written for the call any more."""
+
+    call: Call
+
+
+@dataclass(slots=True)
+class Listed:
+    """The worker list changed; `ports` names the mailboxes of those it tells of."""
+
+    event: WorkersListed
+    ports: Mapping[int, HostPort]
+
+
+@dataclass(slots=True)
+class Stopping:
+    """The invoker stops: all that was taken is answered before `by`."""
+
+    by: float
--- /dev/null
+++ b/harrieryoke/core/table.py
@@ -0,0 +1,146 @@
+"""The request table: exactly one final answer a request, in time, whatever the module does."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .. import interface as i
+from ..limits import Limits
+from .records import Attempt, Call, Front, HostPort, Task, TaskEnded
+
+NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One request that is owed its answer."""
+
+    number: int
+    call: Call
+    front: Front
+    due: float
+    attempts: int = 0
+    may_have_run: bool = False
+    flying: list[Attempt] = field(default_factory=list)
+
+
+class RequestTable:
+    """Owned by the module actor. Tasks that are out end here once, by their host or by their time."""
+
+    def __init__(self, settings: i.Settings, limits: Limits) -> None:
+        self.settings, self.limits = settings, limits
+        self.entries: dict[int, Entry] = {}
+        self.numbers: dict[Call, int] = {}
+        self.rids: dict[str, int] = {}
+        self.tasks: dict[Task, HostPort | None] = {}
+        self.serial = 0
+        self.latest = float("inf")  # no answer is owed after this: the process is stopping
+        self.counts = dict.fromkeys(("taken", "served", "refused", "failed", "withdrawn", "guarded"), 0)
+
+    def take(self, call: Call, front: Front, now: float) -> i.RequestArrived | None:
+        """Enters a call; None where it was answered on the spot."""
+        if call.rid in self.rids:
+            # guards against two open requests under one id: their answers could not be told apart
+            front.failed(call, "a request with this id is open")
+            return None
+        due = min(call.due, self.latest) - self.limits.answer_margin_ms
+        if len(self.entries) >= self.limits.open_calls or due <= now:
+            front.refused(call, self.settings.max_retry_after or None)
+            return None
+        self.serial += 1
+        self.counts["taken"] += 1
+        entry = self.entries[self.serial] = Entry(self.serial, call, front, due)
+        self.numbers[call], self.rids[call.rid] = self.serial, self.serial
+        return i.RequestArrived(entry.number, call.class_index, call.function, due, call.tenant, None,
+                                call.memory, call.lanes, call.load_time)  # fmt: skip
+
+    def withdraw(self, call: Call) -> i.RequestDropped | None:
+        """The client has left; nothing more is owed, and nothing may be written."""
+        number = self.numbers.get(call)
+        if number is None:
+            return None
+        self.counts["withdrawn"] += 1
+        self.close(self.entries[number])
+        return i.RequestDropped(number)
+
+    def close(self, entry: Entry) -> None:
+        del self.entries[entry.number], self.numbers[entry.call], self.rids[entry.call.rid]
+
+    def serve(self, entry: Entry, body: bytes) -> None:
+        self.close(entry)
+        self.counts["served"] += 1
+        entry.front.served(entry.call, body)
+
+    def refuse(self, entry: Entry, retry_after: float | None) -> None:
+        """A refusal says that trying again is harmless; where that is not so, the answer is 'failed'."""
+        kind = self.settings.classes[entry.call.class_index]
+        harmless = kind.effect is i.Effect.SAFE or (
+            kind.effect is i.Effect.KEYED and kind.group is i.Group.ALL
+        )
+        if not harmless and (entry.may_have_run or any(a.begun for a in entry.flying)):
+            return self.fail(entry, "it may have run")
+        self.close(entry)
+        self.counts["refused"] += 1
+        entry.front.refused(entry.call, retry_after)
+
+    def fail(self, entry: Entry, reason: str) -> None:
+        self.close(entry)
+        self.counts["failed"] += 1
+        entry.front.failed(entry.call, reason)
+
+    def give_up(self, entry: Entry) -> None:
+        """The final answer that the table words by itself."""
+        self.refuse(entry, self.settings.max_retry_after or None)
+
+    def begin(self, task: Task, port: HostPort | None) -> TaskEnded | None:
+        """Sends a task on its way; what no mailbox takes has never run."""
+        self.tasks[task] = port
+        if port is None or not port.begin(task):
+            return self.settle(TaskEnded(task, i.Outcome.NOT_SENT))
+        return None
+
+    def attempt(self, entry: Entry, worker: int, stop_at: float, now: float) -> Attempt:
+        made = Attempt(worker, min(stop_at, entry.due), now, call=entry.call,
+                       request=entry.number, number=entry.attempts)  # fmt: skip
+        entry.attempts += 1
+        entry.flying.append(made)
+        return made
+
+    def settle(self, ended: TaskEnded) -> TaskEnded | None:
+        """The first end of a task counts; any later one is None."""
+        task = ended.task
+        if task not in self.tasks:
+            return None
+        del self.tasks[task]
+        task.wanted = False
+        if isinstance(task, Attempt) and (entry := self.entries.get(task.request)):
+            entry.flying.remove(task)
+            entry.may_have_run = entry.may_have_run or ended.outcome not in NEVER_RAN
+        return ended
+
+    def revoke(self, task: Task, outcome: i.Outcome) -> TaskEnded | None:
+        """Ends a task from this side. One whose first byte was never written has never run."""
+        port = self.tasks.get(task)
+        ended = self.settle(TaskEnded(task, outcome if task.begun else i.Outcome.NOT_SENT))
+        if ended is not None and port is not None:
+            port.revoke(task)
+        return ended
+
+    def expired(self, now: float) -> list[TaskEnded]:
+        """Tasks whose time is over. A silent host cannot hold them: the table's clock ends them."""
+        late = [task for task in self.tasks if task.stop_at <= now]
+        return [ended for task in late if (ended := self.revoke(task, i.Outcome.TIMEOUT))]
+
+    def stop_by(self, at: float) -> None:
+        """The process will be killed soon after this: every answer is owed before it."""
+        self.latest = at
+        for entry in self.entries.values():
+            entry.due = min(entry.due, at)
+
+    def overdue(self, now: float) -> list[Entry]:
+        return [e for e in self.entries.values() if e.due <= now and not e.flying]
+
+    def next_time(self) -> float:
+        """When something here becomes due by itself."""
+        first = min((t.stop_at for t in self.tasks), default=float("inf"))
+        return min(first, min((e.due for e in self.entries.values()), default=float("inf")))
--- /dev/null
+++ b/harrieryoke/limits.py
@@ -0,0 +1,34 @@
+"""Every size, count and time that bounds the invoker, in one type filled at start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Times are milliseconds. The platform's configuration and the operator's file fill this once."""
+
+    sockets: int = 1024
+    memory_mb: int = 192
+    body_bytes: int = 16 * 1024
+    line_bytes: int = 64 * 1024
+    header_bytes: int = 16 * 1024
+    open_per_connection: int = 32
+    open_calls: int = 20000
+    client_mailbox: int = 128
+    host_mailbox: int = 1024
+    list_mailbox: int = 256
+    module_mailbox: int = 16384
+    streams_per_link: int = 100
+    links_per_host: int = 4
+    dial_ms: float = 250.0
+    write_ms: float = 1000.0
+    link_idle_ms: float = 30000.0
+    answer_margin_ms: float = 8.0
+    bus_quiet_ms: float = 3500.0
+    bus_backoff_ms: float = 50.0
+    bus_backoff_most_ms: float = 1000.0
+    stop_accepting_ms: float = 650.0
+    stop_within_ms: float = 3500.0
+    log_lines_per_s: int = 20
--- /dev/null
+++ b/harrieryoke/log.py
@@ -0,0 +1,33 @@
+"""The operators' log: plain prints to standard error, rate-limited for each kind of line."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+
+class Log:
+    """`kind` is the fixed first word that the on-call page lists; the rest tells of one case."""
+
+    def __init__(self, name: str = "-", lines_per_s: int = 20) -> None:
+        self.name, self.lines_per_s = name, lines_per_s
+        self.counts: dict[str, int] = {}
+        self.second = 0
+        self.totals: dict[str, int] = {}
+
+    def __call__(self, kind: str, text: str = "") -> None:
+        """One line, unless this kind has had its lines of this second; what was left out is counted."""
+        now = time.time()
+        if int(now) != self.second:
+            for missed, count in self.counts.items():
+                if count > self.lines_per_s:
+                    self.put(now, "log-limited", f"{missed}: {count - self.lines_per_s} lines left out")
+            self.second, self.counts = int(now), {}
+        self.totals[kind] = self.totals.get(kind, 0) + 1
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        if self.counts[kind] <= self.lines_per_s:
+            self.put(now, kind, text)
+
+    def put(self, now: float, kind: str, text: str) -> None:
+        stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}"
+        print(f"{stamp} {self.name} {kind} {text}".rstrip(), file=sys.stderr, flush=True)
--- /dev/null
+++ b/harrieryoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's wires: clients in front, model hosts and the event bus behind."""
--- /dev/null
+++ b/harrieryoke/net/platform.py
@@ -0,0 +1,299 @@
+"""The platform's front: JSON-RPC 2.0 over TCP, one message a line, an actor for each client connection."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+
+from .. import interface as i
+from ..core.actor import Actor, now_ms, spawn
+from ..core.module import ModuleActor
+from ..core.records import Call
+from ..limits import Limits
+from ..log import Log
+
+REFUSED, FAILED = -32050, -32000
+PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
+HEX16 = re.compile(r"[0-9a-f]{16}\Z")
+KEY = re.compile(r"[!-+\--<>-~]{1,256}\Z")  # printable, without ',' and '=': it travels in a frame's fields
+
+
+class Message(msgspec.Struct):
+    method: str
+    id: int | None = None
+    jsonrpc: str = ""
+    params: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class CallParams(msgspec.Struct):
+    rid: str
+    budget: float
+    obj: str
+    acct: str | None = None
+    token: str | None = None
+    props: str = ""
+    blob: bytes = b""
+
+
+class GiveUpParams(msgspec.Struct):
+    id: int | None = None
+    rid: str | None = None
+
+
+class BadRequest(ValueError):
+    """What a client sent is no request; `code` is JSON-RPC's."""
+
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+def read_props(text: str) -> dict[str, float]:
+    """`name:number;name:number`; names it does not know are left alone by its caller."""
+    read = {}
+    for pair in text.split(";") if text else []:
+        name, _, value = pair.partition(":")
+        read[name] = float(value)
+    return read
+
+
+class CallReader:
+    """Turns a method and its parameters into a `Call`, or says why not."""
+
+    def __init__(self, settings: i.Settings, limits: Limits) -> None:
+        self.settings, self.limits = settings, limits
+        self.classes = {c.name: n for n, c in enumerate(settings.classes)}
+        self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
+
+    def read(self, method: str, params: bytes, taken: float) -> Call:
+        if method not in self.classes:
+            raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
+        try:
+            p: CallParams = msgspec.json.decode(params, type=CallParams)
+            props = read_props(p.props)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise BadRequest(BAD_PARAMS, str(error)) from None
+        return self.make(self.classes[method], p, props, taken)
+
+    def make(self, kind: int, p: CallParams, props: dict[str, float], taken: float) -> Call:
+        keyed = self.settings.classes[kind].effect is i.Effect.KEYED
+        for wrong, text in (
+            (not HEX16.match(p.rid), "rid: 16 hex digits are wanted"),
+            (not HEX16.match(p.obj), "obj: 16 hex digits are wanted"),
+            (not 0 < p.budget < 1e9, "budget: milliseconds above 0 are wanted"),
+            (len(p.blob) > self.limits.body_bytes, f"blob: more than {self.limits.body_bytes} bytes"),
+            (p.acct is not None and p.acct not in self.tenants, "acct: no such tenant"),
+            (keyed and p.token is None, "token: missing in a keyed class"),
+            (p.token is not None and not KEY.match(p.token), "token: can't be used"),
+            (not 0 <= props.get("memory_mb", 0.0) < 1e9, "props: memory_mb can't be used"),
+            (not 1 <= props.get("lanes", 1.0) < 1e6, "props: lanes can't be used"),
+            (not 0 < props.get("load_ms", 1.0) < 1e9, "props: load_ms can't be used"),
+        ):
+            if wrong:
+                raise BadRequest(BAD_PARAMS, text)
+        tenant = None if p.acct is None else self.tenants[p.acct]
+        return Call(p.rid, kind, p.obj, taken + p.budget, p.blob, p.token, tenant,
+                    props.get("memory_mb", 0.0), int(props.get("lanes", 1.0)),
+                    props.get("load_ms"), taken)  # fmt: skip
+
+
+@dataclass(slots=True)
+class Line:
+    data: bytes
+    at: float
+
+
+@dataclass(slots=True)
+class Answer:
+    call: Call
+    reply: dict[str, Any]
+
+
+class Ended:
+    """The client's side of the connection is over."""
+
+
+class CloseIfIdle:
+    """The invoker stops: connections without an open request go."""
+
+
+class ClientActor(Actor):
+    """One client connection: reads its lines in order, keeps what is open on it, writes its answers."""
+
+    def __init__(self, sock: socket.socket, name: str, reader: CallReader, core: ModuleActor, limits: Limits,
+                 log: Log, gone: Callable[[ClientActor], None]) -> None:  # fmt: skip
+        # the reserve is kept for answers: they must find room however fast a client writes
+        super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox // 2)
+        self.sock, self.reader, self.core, self.limits, self.gone = sock, reader, core, limits, gone
+        self.open: dict[int, Call] = {}
+        self.ids: dict[Call, int] = {}
+        self.stopping = False
+
+    # --- the core's side ---
+
+    def served(self, call: Call, body: bytes) -> None:
+        self.tell(Answer(call, {"result": {"blob": body}}))
+
+    def refused(self, call: Call, retry_after: float | None) -> None:
+        error: dict[str, Any] = {"code": REFUSED, "message": "refused: trying again is harmless"}
+        if retry_after:
+            error["data"] = {"backoff": round(retry_after)}
+        self.tell(Answer(call, {"error": error}))
+
+    def failed(self, call: Call, reason: str) -> None:
+        self.tell(Answer(call, {"error": {"code": FAILED, "message": f"failed: {reason}"}}))
+
+    # --- the connection ---
+
+    def start(self) -> None:
+        super().start()
+        spawn(self.log, f"{self.name} reader", self.read)
+
+    def read(self) -> None:
+        """The reader's greenlet: cuts the stream into lines."""
+        rest = b""
+        try:
+            while data := self.sock.recv(65536):
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    if len(line) > self.limits.line_bytes or not self.push(Line(line, now_ms())):
+                        break
+                if len(rest) > self.limits.line_bytes or any(len(n) > self.limits.line_bytes for n in lines):
+                    self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
+                    break
+        except OSError:
+            pass
+        self.push(Ended())
+
+    def receive(self, message: Any) -> None:
+        match message:
+            case Line(data, at):
+                if data.strip():
+                    self.line(data, at)
+            case Answer(call, reply):
+                self.answer(call, reply)
+            case Ended():
+                self.over = True
+            case CloseIfIdle():
+                self.stopping = True
+        if self.stopping and not self.open and not self.box:
+            self.over = True
+
+    def line(self, data: bytes, at: float) -> None:
+        id = None
+        try:
+            try:
+                m: Message = msgspec.json.decode(data, type=Message)
+            except msgspec.ValidationError as error:
+                raise BadRequest(INVALID, str(error)) from None
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+                raise BadRequest(PARSE, str(error)) from None
+            if m.jsonrpc != "2.0":
+                raise BadRequest(INVALID, "jsonrpc: '2.0' is wanted")
+            if m.method == "giveUp":
+                return self.give_up(m)
+            if m.id is None or m.id in self.open:
+                # guards against a second answer under an id that is still open
+                raise BadRequest(INVALID, "id: a new number is wanted")
+            id = m.id
+            if m.method == "probe":
+                return self.write({"id": id, "result": {"healthy": True}})
+            if len(self.open) >= self.limits.open_per_connection:
+                raise BadRequest(REFUSED, "too many open requests on this connection")
+            call = self.reader.read(m.method, bytes(m.params), at)
+        except BadRequest as error:
+            self.log("bad-request", f"{self.name}: {error}")
+            return self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
+        self.open[id], self.ids[call] = call, id
+        self.core.offer(call, self)
+
+    def give_up(self, m: Message) -> None:
+        """Named by its id or its rid; after this nothing is written for it."""
+        try:
+            p: GiveUpParams = msgspec.json.decode(bytes(m.params), type=GiveUpParams)
+        except msgspec.MsgspecError as error:
+            raise BadRequest(BAD_PARAMS, str(error)) from None
+        id = p.id if p.id is not None else m.id
+        if p.rid is not None:
+            id = next((n for n, call in self.open.items() if call.rid == p.rid), None)
+        if id is not None and (call := self.open.pop(id, None)) is not None:
+            del self.ids[call]
+            self.core.withdraw(call)
+
+    def answer(self, call: Call, reply: dict[str, Any]) -> None:
+        if (id := self.ids.pop(call, None)) is not None:
+            del self.open[id]
+            self.write({"id": id} | reply)
+
+    def write(self, reply: dict[str, Any]) -> None:
+        try:
+            self.sock.sendall(msgspec.json.encode({"jsonrpc": "2.0"} | reply) + b"\n")
+        except OSError as error:
+            self.log("client-lost", f"{self.name}: {error}")
+            self.over = True
+
+    def finish(self) -> None:
+        """The connection is over: what was open on it is withdrawn."""
+        super().finish()
+        self.sock.close()
+        self.gone(self)
+        for call in self.ids:
+            self.core.withdraw(call)
+
+
+class PlatformFront:
+    """Listens on the one address it was told, and stops in order."""
+
+    def __init__(self, where: tuple[str, int], settings: i.Settings, core: ModuleActor, limits: Limits,
+                 log: Log) -> None:  # fmt: skip
+        self.where, self.core, self.limits, self.log = where, core, limits, log
+        self.reader = CallReader(settings, limits)
+        self.clients: dict[ClientActor, None] = {}
+        self.most = limits.sockets // 2
+        self.listening: socket.socket | None = None
+
+    def start(self) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(self.where)
+        sock.listen(512)
+        self.listening = sock
+        spawn(self.log, "listener", self.accept)
+
+    def accept(self) -> None:
+        while (listening := self.listening) is not None:
+            try:
+                sock, peer = listening.accept()
+            except OSError as error:
+                if self.listening is None:
+                    return
+                # guards against running out of descriptors: the listener waits and goes on
+                self.log("accept-failed", str(error))
+                gevent.sleep(0.05)
+                continue
+            if len(self.clients) >= self.most:
+                self.log("too-many-clients", f"{len(self.clients)} connections are open")
+                sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = ClientActor(sock, f"{peer[0]}:{peer[1]}", self.reader, self.core, self.limits, self.log,
+                                 lambda c: self.clients.pop(c, None))  # fmt: skip
+            self.clients[client] = None
+            client.start()
+
+    def stop_listening(self) -> None:
+        if self.listening is not None:
+            listening, self.listening = self.listening, None
+            listening.close()
+
+    def close_idle(self) -> bool:
+        """Asks every connection to go once nothing is open on it; says whether all have gone."""
+        for client in list(self.clients):
+            client.tell(CloseIfIdle())
+        return not self.clients
--- a/harrieryoke/wirehost.py
+++ b/harrieryoke/wirehost.py
@@ -4,13 +4,15 @@
 
 import base64
 import binascii
-import json
 import sys
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any, TextIO
+from typing import TextIO
+
+import msgspec
 
 from . import interface as i
 from .brain import Router
+from .settings import read_settings, report_names
 
 OUTCOMES = {
     "Ok": i.Outcome.OK,
@@ -30,7 +32,6 @@
     "Error": i.ListScope.FAILED,
 }
 DRAINS = {"on": i.Drain.UP, "fading": i.Drain.DRAINING, "off": i.Drain.GONE}
-EFFECTS = {"repeatable": i.Effect.SAFE, "by_key": i.Effect.KEYED, "once": i.Effect.UNSAFE}
 FOUND = {1: i.Found.COPY, 2: i.Found.BEGAN_LOAD, 3: i.Found.WAITED}
 REPORT_NAMES = {"concurrent": "held", "load_share": "busy", "x0": "pinned_memory", "x1": "loads"}
 
@@ -39,71 +40,12 @@
     """The input is not what the wire allows."""
 
 
-def read_settings(text: str) -> tuple[i.Settings, tuple[str, ...]]:
+def read_info(text: str) -> tuple[i.Settings, tuple[str, ...]]:
     """The settings of an INIT line, and the names of the load report's values."""
-    info = json.loads(text)
+    info = msgspec.json.decode(text)
     if not isinstance(info, dict):
         raise WireError("settings are not an object")
-    extra, rules = info.get("extra", {}), info.get("obligations", {})
-    allowed = info.get("ceilings", {})
-    classes = tuple(
-        i.RequestClass(
-            name=str(c["name"]),
-            aim=float(c["goal-time"]),
-            deadline=float(c["hard-limit"]),
-            worth=float(c.get("value", 1.0)),
-            late_worth=float(c.get("late-worth", 0.0)),
-            effect=EFFECTS[c["repeat"]],
-            group=i.Group(c.get("dedup-scope", "all")),
-            repeat_window=float(c.get("repeat-window", 0.0)),
-            aim_stretch=float(c.get("aim-stretch", 0.0)),
-        )
-        for c in info["classes"]
-    )
-    tenants = tuple(
-        i.Tenant(str(t.get("name", "")), float(t.get("allowance-per-s", 0.0))) for t in info.get("realms", [])
-    )
-    base = i.Settings(classes=classes)
-
-    def number(part: dict[str, Any], key: str, default: float) -> float:
-        value = part.get(key)
-        return default if value is None else float(value)
-
-    settings = i.Settings(
-        classes=classes,
-        tenants=tenants,
-        me=int(info.get("me", 0)),
-        front_ends=int(info.get("siblings", 1)),
-        zone=int(info.get("zone", 0)),
-        tick=number(info, "period", base.tick),
-        over_share_worth=number(info, "over-share-worth", base.over_share_worth),
-        worth_by_work=info.get("worth-by") == "work",
-        max_attempts=int(allowed.get("max-attempts", base.max_attempts)),
-        second_attempts=bool(allowed.get("second-copies", False)),
-        may_cancel=bool(allowed.get("cancel", False)),
-        may_probe=bool(allowed.get("probes", False)),
-        may_order=bool(extra.get("orders", False)),
-        tells_retry_after=bool(allowed.get("retry-after", False)),
-        max_retry_after=number(allowed, "max-retry-after", base.max_retry_after),
-        list_on_request=info.get("discovery") == "on_request",
-        list_ask_within=number(rules, "ask-within", base.list_ask_within),
-        connect_timeout=number(allowed, "dial-timeout", base.connect_timeout),
-        answer_slack=number(rules, "answer-slack", base.answer_slack),
-        cold_period=number(rules, "cold", base.cold_period),
-        cold_share=number(rules, "cold-share", base.cold_share),
-        fall_multiple=number(rules, "fall-multiple", base.fall_multiple),
-        fall_time=number(rules, "overload-for", base.fall_time),
-        keep_alive=number(extra, "stays-loaded", base.keep_alive),
-        order_timeout=number(extra, "order-limit", base.order_timeout),
-        ration_window=number(extra, "load-window", base.ration_window),
-        ration_floor=number(extra, "load-floor", base.ration_floor),
-        ration_share=number(extra, "load-share", base.ration_share),
-        idle_price=number(extra, "price-of-idle", base.idle_price),
-        memory_by_kind=tuple(float(m) for m in extra.get("kind-memory-mb", [])),
-        tells_found=bool(extra.get("warm-notes", False)),
-        tells_crowd=bool(extra.get("says-company", False)),
-    )
-    return settings, tuple(str(n) for n in info.get("load-report", {}).get("fields", []))
+    return read_settings(info), report_names(info)
 
 
 def number_or_none(text: str) -> float | None:
@@ -255,7 +197,7 @@
         who = int(first)
         if tag == "INIT":
             seed, _, info = rest.partition(" ")
-            settings, names = read_settings(info)
+            settings, names = read_info(info)
             self.routers[who] = (Router(settings, int(seed)), names)
             pending[who] = []
             return
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from harrieryoke import wirehost
 from harrieryoke import interface as i
+from harrieryoke import wirehost
 from harrieryoke.brain import Router
 
 INFO = json.dumps({
