--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -303,5 +303,6 @@
         outcome = ENDS[frame.code]
         if isinstance(task, Order):
             return self.end(task, outcome, copies=number(frame.fields.get("pods")) or 0)
+        report, crowd = read_report(frame.fields.get("l")), number(frame.fields.get("depth"))
         self.end(task, outcome, body=frame.body, found=FOUND.get(note), load_failed=note == "f",
-                 crowd=number(frame.fields.get("depth")), report=read_report(frame.fields.get("l")))  # fmt: skip
+                 crowd=crowd, report=report)  # fmt: skip
