--- a/harrieryoke/core/actor.py
+++ b/harrieryoke/core/actor.py
@@ -20,7 +20,7 @@
 
 
 def spawn(
-    log: Log, name: str, run: Callable[[], None], ended: Callable[[], None] | None = None
+    log: Log, name: str, run: Callable[[], object], ended: Callable[[], object] | None = None
 ) -> gevent.Greenlet:
     """Starts a greenlet that cannot die silently: an escaping error is logged, then `ended` is called."""
 
--- a/harrieryoke/core/calls.py
+++ b/harrieryoke/core/calls.py
@@ -29,7 +29,8 @@
         return self.settings.classes[self.classes[name]].effect is i.Effect.KEYED
 
     def make(self, name: str, rid: str, function: str, budget: float, taken: float, body: bytes,
-             key: str | None, tenant: str | None, extras: Mapping[str, float], topic: str = "") -> Call:  # fmt: skip
+             key: str | None, tenant: str | None, extras: Mapping[str, float],
+             topic: str = "") -> Call:  # fmt: skip
         for wrong, text in (
             (not HEX16.match(rid), "id: 16 hex digits are wanted"),
             (bool(function or not topic) and not HEX16.match(function), "function: 16 hex digits wanted"),
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -152,7 +152,7 @@
             standing.drain = i.Drain.GONE
             if not actor.tell(Retire(now)):
                 # guards against waiting here for a host whose mailbox is full: the others need their news
-                spawn(self.log, f"retire {id}", lambda: bool(actor.push(Retire(now))) and None)
+                spawn(self.log, f"retire {id}", lambda: actor.push(Retire(now)))
 
 
 class BusFollower:
