Accept MQTT triggers on the same core, and refuse a little before half time

MQTT: a whole path from topic to outcome and acknowledgement, 3.1.1 and 5, with scenarios for cold, draining and silent hosts, malformed payloads, keys repeated within and after the window, reconnects with open and with answered triggers, an earlier life of the process, and SIGTERM. Seen: at SIGTERM the broker's stand-in missed the last packets. Ruled out: an outcome not sent (the counters had it); cause: the socket was closed with receipts unread, which resets it. Now it leaves once every outcome is confirmed. Seen: the first failing hook ended the process with a segmentation fault. Checked: the same hook in a plain greenlet of a small script did not; a fault handler showed Starlark's error on a connection's greenlet. Hooks run in a thread.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -17,6 +17,7 @@
 FIRST_LIMIT, LEAST_LIMIT = 16.0, 3.0  # attempts at a worker, of all front ends: at first, under strain
 STRAINED = 0.6  # share of the aim that answers take when a worker has too much to do
 ORDERS_FIRST, ORDERS_LEAST, ORDERS_MOST = 6.0, 2.0, 12.0  # own orders in progress
+HALF = 0.45  # of a request's time: a refusal that leaves now still comes within its first half
 IDLE_WINDOW = 3.0  # keep-alives without use until renewal stops
 
 
@@ -373,8 +374,8 @@
     def hold(self, f: Function, r: Request) -> None:
         f.waiting.append(r)
         self.touched[f.name] = f
-        half = (r.event.due - r.arrived) / 2
-        self.later(max(0.0, r.arrived + half - self.now), self.despair, (f, r))
+        half = r.arrived + HALF * (r.event.due - r.arrived)
+        self.later(max(0.0, half - self.now), self.despair, (f, r))
         self.later(r.event.due - 2 * self.sweep - self.now, self.end, r)
 
     def despair(self, held: tuple[Function, Request]) -> None:
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -75,6 +75,11 @@
     final: Final
 
 
+@dataclass(slots=True)
+class Received:
+    number: int
+
+
 class Stop:
     """Take no more; what was taken is answered."""
 
@@ -92,6 +97,7 @@
         self.credits = Semaphore(room)  # backpressure: so many deliveries are in hand, and no more
         self.by_mid: dict[int, Taken] = {}
         self.calls: dict[Call, Taken] = {}
+        self.sent: set[int] = set()  # outcomes that the broker has not confirmed
         self.life = 0
         self.lives = 0  # written by the connection's greenlet alone
         self.inherited = False  # this connection's session comes from an earlier life of the process
@@ -115,7 +121,7 @@
             made.tls_set_context(ssl.create_default_context(cafile=self.told.ca_file))
         made.max_queued_messages_set(0)
         made.max_inflight_messages_set(self.told.receive_maximum)
-        made.on_connect, made.on_message = self.on_connect, self.on_message
+        made.on_connect, made.on_message, made.on_publish = self.on_connect, self.on_message, self.on_publish
         return made
 
     # --- the core's side ---
@@ -173,6 +179,9 @@
         else:
             client.subscribe([(f, 1) for f in self.reader.filters()])
 
+    def on_publish(self, client: paho.Client, data: Any, mid: int, code: Any, properties: Any) -> None:
+        self.push(Received(mid))
+
     def on_message(self, client: paho.Client, data: Any, m: paho.MQTTMessage) -> None:
         """Waits for a credit: while the table is full nothing more is read, and the broker keeps it."""
         self.credits.acquire()
@@ -195,11 +204,14 @@
                 self.delivered(m, life)
             case Answered(call, final):
                 self.answered(call, final)
+            case Received(number):
+                self.sent.discard(number)
             case Counted(tell):
                 tell(self.counts | {"open": len(self.calls)})
             case Stop():
                 self.stopping = True
-        if self.stopping and not self.calls and not self.box:
+        # guards against a reset that takes the last outcomes with it: a close with receipts unread is one
+        if self.stopping and not self.calls and not self.sent and not self.box:
             self.leave()
 
     def connected(self, life: int, session: bool) -> None:
@@ -303,7 +315,7 @@
             if m.correlation is not None:
                 properties.CorrelationData = m.correlation
         try:
-            self.client.publish(topic, msgspec.json.encode(told), qos=1, properties=properties)
+            self.sent.add(self.client.publish(topic, msgspec.json.encode(told), 1, properties=properties).mid)
         except ValueError as error:
             self.log("bad-response-topic", f"{topic[:80]}: {error}")
 
--- a/harrieryoke/plugins.py
+++ b/harrieryoke/plugins.py
@@ -11,10 +11,13 @@
 
 import msgspec
 import starlark
+from gevent.threadpool import ThreadPool
 
 from . import interface as i
+from .core.actor import Actor
 from .core.calls import HEX16
 from .core.records import Call
+from .limits import Limits
 from .log import Log
 
 
@@ -29,23 +32,40 @@
     """The file can't be loaded."""
 
 
-class Hooks:
+def plain(error: Exception) -> str:
+    """Starlark's errors take many lines; the log has one."""
+    return " | ".join(str(error).split("\n"))[:300]
+
+
+class Hooks(Actor):
     """`on_request(request)` returns None or "admit", "refuse", {"refuse_ms": N} or, in MQTT,
     {"function": "16 hex digits"}; `on_outcome(request, outcome)` returns nothing."""
 
-    def __init__(self, told: PluginSettings, settings: i.Settings, log: Log,
+    def __init__(self, told: PluginSettings, settings: i.Settings, limits: Limits, log: Log,
                  clock: Callable[[], float]) -> None:  # fmt: skip
+        super().__init__("plug-in", limits.host_mailbox, log)
         if told.on_failure not in ("admit", "refuse"):
             raise PluginError(f"plugin.on_failure: 'admit' or 'refuse' is wanted, not {told.on_failure!r}")
-        self.told, self.settings, self.log, self.clock = told, settings, log, clock
+        self.told, self.settings, self.clock = told, settings, clock
         module = starlark.Module()
         try:
             tree = starlark.parse(told.file, Path(told.file).read_text())
             starlark.eval(module, tree, starlark.Globals.standard())
         except (OSError, starlark.StarlarkError) as error:
             raise PluginError(f"plugin.file: {error}") from None
-        self.has = {name: module[name] is not None for name in ("on_request", "on_outcome")}
+        self.has = {name: self.defines(module, name) for name in ("on_request", "on_outcome")}
         self.module = module.freeze()
+        # guards against a crash of the process: Starlark unwinds the stack for its errors, and a greenlet's
+        # stack, which gevent moves about, can't be unwound; a thread's can. It also keeps the loop running.
+        self.thread = ThreadPool(1)
+
+    @staticmethod
+    def defines(module: starlark.Module, name: str) -> bool:
+        try:
+            tree = starlark.parse(name, f"type({name})")
+            return bool(starlark.eval(module, tree, starlark.Globals.standard()) == "function")
+        except starlark.StarlarkError:
+            return False
 
     def record(self, call: Call) -> dict[str, Any]:
         """What a hook sees: a copy, of figures and names."""
@@ -57,14 +77,28 @@
             "topic": call.topic,
         }  # fmt: skip
 
+    def ask(self, name: str, *arguments: Any) -> Any:
+        """Calls the hook in its thread. Its error comes back as a value: the pool would print it."""
+
+        def run() -> Any:
+            try:
+                return self.module.call(name, *arguments)
+            except Exception as error:
+                return error
+
+        said = self.thread.apply(run)
+        if isinstance(said, Exception):
+            raise said
+        return said
+
     def request(self, call: Call) -> float | None:
         """None: go on. A number: refuse, and tell the client to stay away for so many milliseconds."""
         if not self.has["on_request"]:
             return None
         try:
-            return self.decide(call, self.module.call("on_request", self.record(call)))
+            return self.decide(call, self.ask("on_request", self.record(call)))
         except Exception as error:  # whatever a hook does, the invoker goes on with the stated default
-            self.log("hook-failed", f"on_request, so {self.told.on_failure}: {str(error)[:300]}")
+            self.log("hook-failed", f"on_request, so {self.told.on_failure}: {plain(error)}")
             return None if self.told.on_failure == "admit" else self.settings.max_retry_after
 
     def decide(self, call: Call, said: Any) -> float | None:
@@ -82,8 +116,12 @@
         raise ValueError(f"on_request returned {said!r}")
 
     def outcome(self, call: Call, outcome: str) -> None:
-        if self.has["on_outcome"]:
-            try:
-                self.module.call("on_outcome", self.record(call), outcome)
-            except Exception as error:  # as above: a hook that only watches changes nothing by failing
-                self.log("hook-failed", f"on_outcome: {str(error)[:300]}")
+        """Never waits: the request table calls it. Outcomes beyond the mailbox's bound are left out."""
+        if self.has["on_outcome"] and not self.tell((self.record(call), outcome)):
+            self.log("hook-behind", "an outcome was not shown to on_outcome")
+
+    def receive(self, message: tuple[dict[str, Any], str]) -> None:
+        try:
+            self.ask("on_outcome", *message)
+        except Exception as error:  # as above: a hook that only watches changes nothing by failing
+            self.log("hook-failed", f"on_outcome: {plain(error)}")
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -34,15 +34,18 @@
         self.bus = BusFollower(config.bus, config.known.offset, self.limits, log, self.hosts.push)
         maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, maker, self.core, self.limits, log)
-        self.broker = self.ops = None
+        self.broker: BrokerActor | None = None
+        self.ops: OpsServer | None = None
+        self.hooks: Hooks | None = None
         if operator.mqtt is not None:
             where = read_address("mqtt.broker", operator.mqtt.broker)
             self.broker = BrokerActor(operator.mqtt, where, maker, self.core, self.limits, log)
         if operator.plugin is not None:
             try:
-                self.core.table.hooks = Hooks(operator.plugin, settings, log, now_ms)
+                self.hooks = Hooks(operator.plugin, settings, self.limits, log, now_ms)
             except PluginError as error:
                 raise ConfigError(str(error)) from None
+            self.core.table.hooks = self.hooks
         if operator.ops is not None:
             where = read_address("ops.listen", operator.ops.listen)
             self.ops = OpsServer(where, self.answer, self.limits, log)
@@ -54,7 +57,7 @@
         self.core.start()
         self.bus.start()
         self.front.start()
-        for part in (self.broker, self.ops):
+        for part in (self.hooks, self.broker, self.ops):
             if part is not None:
                 part.start()
         self.log("started", f"listening on {self.config.listen[0]}:{self.config.listen[1]}")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,14 +4,16 @@
 
     send PARTY WORDS     the party says something       expect PARTY WORDS   the next thing it hears is this
     close PARTY          its connection ends            wait WORDS           until the invoker's log says so
+    get ADDRESS METHOD PATH STATUS                      one request of the operators' HTTP
 
-Parties: `c...` clients, `h...` model hosts, `bus`, and `node` (the process: `send node TERM`,
+Parties: `c...` clients, `h...` model hosts, `bus`, `broker`, and `node` (the process: `send node TERM`,
 `expect node exit 0`). That nothing comes is seen by what comes next: it must be what is expected then.
 """
 
 from __future__ import annotations
 
 import base64
+import copy
 import json
 import os
 import shlex
@@ -25,6 +27,8 @@
 
 from harrieryoke.net import frames
 
+from .broker import Broker, Publication, until
+
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # seconds until a step that should come at once is held to have failed
 FUNCTION = "7f3a9c21e0b4d655"
@@ -110,7 +114,12 @@
 class Scene:
     """One invoker and its parties; plays a scenario's steps in order."""
 
-    def __init__(self, folder: Path, hosts: int = 1, operator: str = "") -> None:
+    def __init__(
+        self, folder: Path, hosts: int = 1, operator: str = "", broker: Broker | None = None,
+        window: int = 6000,
+    ) -> None:  # fmt: skip
+        """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes."""
+        self.broker = broker or Broker()
         self.folder, self.parties, self.offset = folder, {"bus": Party(listener())}, 0
         self.hosts = {f"h{n + 1}": Party(listener()) for n in range(hosts)}
         self.parties |= self.hosts
@@ -118,20 +127,23 @@
         self.address = where(free)
         free.close()
         known = [self.event("active", *self.hosts)] if hosts else []
+        settings = copy.deepcopy(SETTINGS)
         config = {
-            "name": "n0", "listen": self.address, "seed": "8c1f30d27a5be964", "settings": SETTINGS,
+            "name": "n0", "listen": self.address, "seed": "8c1f30d27a5be964", "settings": settings,
             "limits": {"memory_mb": 192, "sockets": 1024},
             "bus": self.parties["bus"].address(), "known": {"offset": self.offset, "batch": known},
         }  # fmt: skip
+        settings["classes"][1]["repeat-window"] = window
         (folder / "config.json").write_text(json.dumps(config))
         env = os.environ | {"RELAY_CONFIG": str(folder / "config.json")}
         command = [sys.executable, "-m", "harrieryoke", "serve"]
         if operator:
-            (folder / "operator.toml").write_text(operator)
+            told = operator.replace("BROKER", self.broker.address())
+            (folder / "operator.toml").write_text(told)
             command += ["--operator", str(folder / "operator.toml")]
         with open(folder / "log", "w") as log:
             self.process = subprocess.Popen(command, env=env, cwd=ROOT, stderr=log, stdout=log)
-        self.seen = 0
+        self.seen, self.bodies = 0, dict[str, str]()
         self.wait("started")
 
     def event(self, state: str, *names: str) -> dict[str, Any]:
@@ -162,6 +174,8 @@
             try:
                 if verb == "wait":
                     self.wait(rest)
+                elif verb == "get":
+                    self.get(*shlex.split(rest))
                 else:
                     name, *words = shlex.split(rest)
                     self.step(verb, name, words)
@@ -171,6 +185,8 @@
     def step(self, verb: str, name: str, words: list[str]) -> None:
         if name == "node":
             return self.node(verb, words)
+        if name == "broker":
+            return self.talk_to_broker(verb, words)
         if name not in self.parties and name.startswith("c"):
             host, port = self.address.split(":")
             self.parties[name] = Party(sock=socket.create_connection((host, int(port)), PATIENCE))
@@ -186,6 +202,15 @@
         else:
             assert self.process.wait(PATIENCE) == int(words[1])
 
+    def get(self, address: str, method: str, path: str, status: str) -> None:
+        host, port = address.split(":")
+        with socket.create_connection((host, int(port)), PATIENCE) as sock:
+            sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head, _, body = b"".join(iter(lambda: sock.recv(65536), b"")).partition(b"\r\n\r\n")
+        self.same(status, head.split()[1].decode())
+        if status == "200":
+            self.bodies[path.partition("?")[0]] = body.decode()
+
     # --- clients ---
 
     def send_client(self, party: Party, words: list[str]) -> None:
@@ -249,6 +274,41 @@
         for name, value in (w.split("=", 1) for w in words[1:]):
             self.same(value, frame.body.decode() if name == "body" else frame.fields.get(name, "-"))
 
+    # --- the MQTT broker ---
+
+    def talk_to_broker(self, verb: str, words: list[str]) -> None:
+        """`send broker TOPIC PAYLOAD [response=TOPIC] [correlation=TEXT] [expiry=S] [retain=1] [out=1]`;
+        `out` was delivered in an earlier life. `expect broker served|refused|failed [to=TOPIC]
+        [correlation=TEXT] [body=TEXT]`, `acked N`, `redelivered N`, `end`. Closed, it keeps the session."""
+        b = self.broker
+        if verb == "close":
+            return b.drop()
+        given = dict(w.split("=", 1) for w in words[1 if verb == "expect" else 2 :] if "=" in w)
+        if verb == "send":
+            correlation = given.get("correlation")
+            expiry = int(given["expiry"]) if "expiry" in given else None
+            m = Publication(words[0], words[1].encode(), given.get("response"),
+                            None if correlation is None else correlation.encode(),
+                            expiry, {}, "retain" in given)  # fmt: skip
+            if "out" in given:
+                b.known, b.unacked[b.mid + 1] = True, m
+            else:
+                b.queue.append(m)
+            until(lambda: b.subscribed and not b.queue, b)
+        elif words[0] in ("acked", "redelivered"):
+            until(lambda: getattr(b, words[0]) >= int(words[1]), b)
+            self.same(words[1], str(getattr(b, words[0])))
+        elif words[0] == "end":
+            until(lambda: b.closed_in_order, b)
+        else:
+            until(lambda: b.answers, b)
+            answer = b.answers.pop(0)
+            told = json.loads(answer.payload)
+            self.same(words[0], told["outcome"])
+            self.same(given.get("to", answer.topic), answer.topic)
+            self.same(given.get("correlation", ""), (answer.correlation or b"").decode())
+            self.same(given.get("body", ""), base64.b64decode(told.get("body", "")).decode())
+
     # --- the event bus ---
 
     def send_bus(self, party: Party, words: list[str]) -> None:
@@ -268,4 +328,18 @@
             for sock in (party.listening, party.conn):
                 if sock is not None:
                     sock.close()
+        self.broker.drop()
+        self.broker.listening.close()
         return self.log()
+
+
+def run(folder: Path, text: str, seen: dict[str, str] | None = None, **kind: Any) -> str:
+    """Plays one scenario against an invoker of its own; what it logged. `seen` gets the HTTP's bodies."""
+    scene = Scene(folder, **kind)
+    scene.bodies = {} if seen is None else seen
+    try:
+        scene.play(text)
+    finally:
+        log = scene.end()
+    assert "greenlet-died" not in log and "module-fault" not in log, log
+    return log
--- /dev/null
+++ b/tests/test_mqtt.py
@@ -0,0 +1,269 @@
+"""MQTT triggers, from the broker's stand-in to the model hosts' and back."""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+from pathlib import Path
+
+import pytest
+
+from harrieryoke.mqtt.memory import Final, KeyMemory
+from harrieryoke.net import frames
+
+from .broker import Broker, Publication, until
+from .scenario import FUNCTION, ROOT, Scene, run
+
+TEMPLATE = re.sub(r'"127.0.0.1:1883"', '"BROKER"', (ROOT / "deploy" / "operator.toml").read_text())
+HARVEST = f"hives/coop-kef/harvest/{FUNCTION}"
+WEIGHT = f"hives/coop-kef/weight/{FUNCTION}"
+READING = """'{"reading":"r1","kg":41}'"""
+CASES = {
+    "a whole path: the outcome goes to the response topic, and then the message is acknowledged": f"""
+        send broker {HARVEST} {READING} response=to/me correlation=c-1
+        expect h1 request sort=harvest-log asset={FUNCTION} op=r1 body={READING}
+        send h1 ok body=noted
+        expect broker served to=to/me correlation=c-1 body=noted
+        expect broker acked 1""",
+    "a cold host: a miss, an order, and the trigger is sent again there": f"""
+        send broker {WEIGHT} 41 response=a
+        expect h1 request sort=weight-read op=- body=41
+        send h1 miss
+        expect h1 hold asset={FUNCTION}
+        send h1 ok of=hold pods=1
+        expect h1 request body=41
+        send h1 ok body=y
+        expect broker served body=y
+        expect broker acked 1""",
+    "a draining host gets none: refused, told and acknowledged": f"""
+        expect bus 'from 1'
+        send bus leaving h1
+        wait changed
+        send broker {WEIGHT} 41 response=a expiry=1
+        expect broker refused to=a
+        expect broker acked 1""",
+    "a silent host: failed within the message's expiry": f"""
+        send broker {HARVEST} {READING} expiry=1
+        expect h1 request op=r1
+        expect broker failed to={HARVEST}/outcome
+        expect h1 give-up
+        expect broker acked 1""",
+    "an error of a keyed class goes again with its key": f"""
+        send broker {HARVEST} {READING}
+        expect h1 request op=r1
+        send h1 error
+        expect h1 request op=r1
+        send h1 ok
+        expect broker served
+        expect broker acked 1""",
+    "malformed: no JSON, no key, an unknown tenant, no function, too large": f"""
+        send broker {HARVEST} 'no json' response=a
+        expect broker failed to=a
+        send broker {HARVEST} '{{"kg":1}}' response=a
+        expect broker failed
+        send broker hives/nobody/harvest/{FUNCTION} {READING} response=a
+        expect broker failed
+        send broker hives/coop-kef/harvest/not-hex {READING} response=a
+        expect broker failed
+        send broker {WEIGHT} {"x" * 17000} response=a
+        expect broker failed
+        expect broker acked 5
+        send broker {HARVEST} {READING}
+        expect h1 request op=r1""",
+    "a subscriber that reconnects: what is open is joined, not called again": f"""
+        send broker {HARVEST} {READING} correlation=c
+        expect h1 request op=r1
+        close broker
+        wait broker-lost
+        expect broker redelivered 1
+        send h1 ok body=once
+        expect broker served correlation=c body=once
+        expect broker acked 1
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2""",
+    "an answer given while the broker was away is told after it, and the repeat only acknowledged": f"""
+        send broker {WEIGHT} 41 response=a
+        expect h1 request
+        close broker
+        wait broker-lost
+        send h1 ok body=once
+        expect broker redelivered 1
+        expect broker acked 1
+        expect broker served body=once
+        send broker {WEIGHT} 42 response=a
+        expect h1 request body=42""",
+    "the same key while its call is open joins it": f"""
+        send broker {HARVEST} {READING} correlation=one
+        expect h1 request op=r1
+        send broker {HARVEST} {READING} correlation=two
+        send h1 ok body=once
+        expect broker served correlation=one body=once
+        expect broker served correlation=two body=once
+        expect broker acked 2
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2""",
+    "delivered in an earlier life: a keyed one may have run and is not called": f"""
+        send broker {HARVEST} {READING} out=1
+        expect broker failed
+        expect broker acked 1
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2""",
+    "delivered in an earlier life: what may be repeated is called": f"""
+        send broker {WEIGHT} 41 out=1
+        expect h1 request body=41""",
+    "a retained message is no trigger": f"""
+        send broker {WEIGHT} old retain=1
+        expect broker acked 1
+        send broker {WEIGHT} new
+        expect h1 request body=new""",
+    "SIGTERM: what was taken is answered and acknowledged, the rest stays with the broker": f"""
+        send broker {WEIGHT} 41 response=a
+        expect h1 request
+        send node TERM
+        wait stopping
+        send broker {WEIGHT} 42 response=a
+        send h1 ok body=last
+        expect broker served body=last
+        expect broker end
+        expect broker acked 1
+        expect node exit 0""",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("version", ["5", "3.1.1"])
+@pytest.mark.parametrize("name", CASES)
+def test_triggers(name: str, version: str, tmp_path: Path) -> None:
+    text = CASES[name]
+    if version == "3.1.1":  # no response topic, correlation or expiry on this version: the trigger names one
+        if "expiry" in text:
+            pytest.skip("3.1.1 has no message expiry")
+        text = re.sub(r" (response|correlation|to)=\S+", "", text)
+    operator = TEMPLATE.replace('version = "5"', f'version = "{version}"').replace(
+        'load_ms = 800', 'load_ms = 800\nresponse = "out/{coop}"')
+    run(tmp_path, text, operator=operator, broker=Broker(version))
+
+
+@pytest.mark.parametrize("window", [6000, 1])
+def test_a_key_redelivered_within_and_after_the_window_gets_the_same_answer_and_no_call(
+    window: int, tmp_path: Path
+) -> None:
+    """With a window of 1 ms the repeat comes after it: the rack would run it a second time."""
+    text = f"""
+        send broker {HARVEST} {READING} correlation=one
+        expect h1 request op=r1
+        send h1 ok body=once
+        expect broker served correlation=one body=once
+        expect broker acked 1
+        send broker {HARVEST} {READING} correlation=two
+        expect broker served correlation=two body=once
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2"""
+    run(tmp_path, text, operator=TEMPLATE, window=window)
+
+
+def test_the_memory_of_keys_forgets_by_time_and_drops_bodies_by_size() -> None:
+    memory: KeyMemory[str] = KeyMemory(1000.0, 10, 3)
+    memory.begin("a", 0.0, "w")
+    assert memory.end("a", 1.0, Final("served", b"12345678")) == ["w"]
+    memory.begin("b", 2.0, "w")
+    memory.end("b", 3.0, Final("served", b"12345678"))
+    a, b = memory.find("a", 4.0), memory.find("b", 4.0)
+    assert a and a.final and a.final.outcome == "failed" and b and b.final and b.final.body == b"12345678"
+    assert memory.find("a", 1002.0) is None and memory.find("b", 1002.0) is not None
+    for n in range(4):
+        memory.begin(f"k{n}", 1002.0, "w")
+        memory.end(f"k{n}", 1002.0, Final("served", b""))
+    memory.find("k3", 1002.0)
+    assert len(memory.known) == 3
+
+
+class AutoHost:
+    """A model host that answers at once: a miss until an order has come, then the request's own body."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        self.listening, self.conns = listening, dict[socket.socket, frames.Decoder]()
+        self.loaded: set[str] = set()
+        self.runs: dict[str, int] = {}
+        listening.setblocking(False)
+
+    def sockets(self) -> list[socket.socket]:
+        return [self.listening, *self.conns]
+
+    def step(self) -> None:
+        try:
+            conn, _ = self.listening.accept()
+            self.conns[conn] = frames.Decoder(1 << 20, frames.TO_HOST)
+        except BlockingIOError:
+            pass
+        for conn, decoder in list(self.conns.items()):
+            conn.settimeout(0)
+            try:
+                data = conn.recv(1 << 20)
+            except BlockingIOError:
+                continue
+            if not data:
+                del self.conns[conn]
+                continue
+            conn.settimeout(20)
+            for frame in decoder.feed(data):
+                self.frame(conn, frame)
+
+    def frame(self, conn: socket.socket, f: frames.Frame) -> None:
+        function = f.fields.get("asset", "")
+        if f.code == frames.HOLD:
+            self.loaded.add(function)
+            conn.sendall(frames.encode(frames.OK, f.id, {"pods": "1"}, mark=frames.FROM_HOST))
+        elif f.code == frames.REQUEST and function not in self.loaded:
+            conn.sendall(frames.encode(frames.MISS, f.id, mark=frames.FROM_HOST))
+        elif f.code == frames.REQUEST:
+            key = f.fields.get("op", f"{f.id:x}")
+            self.runs[key] = self.runs.get(key, 0) + 1
+            conn.sendall(frames.encode(frames.OK, f.id, {"n": "w"}, f.body, frames.FROM_HOST))
+
+
+@pytest.mark.parametrize("version", ["5", "3.1.1"])
+def test_ten_thousand_triggers_get_exactly_one_final_answer_each(
+    version: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A burst over a full table, with the connection lost in its midst again and again."""
+    total = 10_000
+    broker = Broker(version)
+    operator = TEMPLATE.replace('version = "5"', f'version = "{version}"')
+    scene = Scene(tmp_path, 2, operator, broker)
+    hosts = [AutoHost(party.listening) for party in scene.hosts.values() if party.listening]
+    names = [f"{n:016x}" for n in range(1, 9)]
+    for n in range(total):
+        payload = json.dumps({"reading": f"r{n}"}).encode()
+        broker.queue.append(Publication(f"hives/coop-kef/harvest/{names[n % 8]}", payload, "out", b"c%d" % n))
+    try:
+        for lost in range(1, 11):
+            until(lambda lost=lost: broker.acked >= lost * total // 11, broker, *hosts, seconds=120)
+            broker.drop()
+        until(lambda: broker.acked >= total and len(broker.answers) >= total, broker, *hosts, seconds=120)
+        scene.step("send", "node", ["TERM"])
+        until(lambda: broker.closed_in_order, broker, *hosts)
+    finally:
+        log = scene.end()
+    finals: dict[str, int] = {}
+    outcomes: dict[str, int] = {}
+    for answer in broker.answers:
+        told = json.loads(answer.payload)
+        outcomes[told["outcome"]] = outcomes.get(told["outcome"], 0) + 1
+        body = json.loads(__import__("base64").b64decode(told["body"])) if "body" in told else {}
+        name = (answer.correlation or b"").decode() or "c" + str(body.get("reading", ""))[1:]
+        finals[name] = finals.get(name, 0) + 1
+    repeats = sum(n - 1 for host in hosts for n in host.runs.values())
+    repeats += len(hosts[0].runs.keys() & hosts[1].runs.keys())
+    with capsys.disabled():
+        print(
+            f"\nMQTT {version}: {total} triggers, {len(broker.answers)} final answers {outcomes}, {repeats} "
+            f"repeats of a key at the hosts, {broker.redelivered} redelivered, "
+            f"{broker.connections} connections"
+        )
+    assert "greenlet-died" not in log, log
+    assert len(broker.answers) == total and repeats == 0
+    if version == "5" or outcomes == {"served": total}:
+        assert set(finals) == {f"c{n}" for n in range(total)} and set(finals.values()) == {1}
+    assert broker.most_unacked <= (64 if version == "5" else 20)
+    assert broker.connections == 11 and not broker.unacked
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .scenario import Scene
+from .scenario import Scene, run
 
 HUGE = "A" * 40000
 ONE = {
@@ -196,16 +196,6 @@
 }  # fmt: skip
 
 
-def run(folder: Path, text: str, hosts: int = 1) -> str:
-    scene = Scene(folder, hosts)
-    try:
-        scene.play(text)
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log and "module-fault" not in log, log
-    return log
-
-
 @pytest.mark.parametrize("name", ONE)
 def test_one_model_host(name: str, tmp_path: Path) -> None:
     run(tmp_path, ONE[name])
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -126,7 +126,8 @@
     """Seen on an overload day of the real bench: refusals were held back to just before the client left."""
     rig = Rig(replace(SETTINGS, tells_retry_after=True, max_retry_after=500.0), count=0)
     rig.ask(1)
-    assert rig.wait(950) == [] or 1 not in rig.ended
+    rig.wait(850)
+    assert 1 not in rig.ended
     assert i.Refuse(1, 500.0) in rig.wait(100)
 
 
