--- a/harrieryoke/cli.py
+++ b/harrieryoke/cli.py
@@ -4,12 +4,11 @@
 
 import argparse
 import sys
-from importlib.metadata import PackageNotFoundError, version
 
 import msgspec
+from gevent import monkey
 
 from .config import ConfigError, read_config
-from .descriptions import asyncapi, openapi
 from .log import Log
 from .service import Service
 
@@ -22,7 +21,7 @@
 def check_config(arguments: argparse.Namespace) -> int:
     config = read_config(arguments.operator)
     Service(config, Log(config.name))
-    mqtt = config.operator.mqtt
+    mqtt = None if config.operator is None else config.operator.mqtt
     triggers = "MQTT is off" if mqtt is None else f"{len(mqtt.trigger)} MQTT triggers"
     where = f"{config.listen[0]}:{config.listen[1]}"
     print(f"{config.name}: {len(config.settings.classes)} classes, listens on {where}, {triggers}")
@@ -31,13 +30,18 @@
 
 def describe(arguments: argparse.Namespace) -> int:
     """Prints what the triggers and the operators' HTTP speak, as AsyncAPI and OpenAPI."""
-    mqtt = read_config(arguments.operator).operator.mqtt
-    both = {"asyncapi": asyncapi([] if mqtt is None else mqtt.trigger), "openapi": openapi()}
+    from .descriptions import asyncapi, openapi
+
+    operator = read_config(arguments.operator).operator
+    triggers = [] if operator is None or operator.mqtt is None else operator.mqtt.trigger
+    both = {"asyncapi": asyncapi(triggers), "openapi": openapi()}
     print(msgspec.json.format(msgspec.json.encode(both)).decode())
     return 0
 
 
 def show_version(arguments: argparse.Namespace) -> int:
+    from importlib.metadata import PackageNotFoundError, version
+
     try:
         print(f"harrieryoke {version('harrieryoke')}")
     except PackageNotFoundError:
@@ -63,6 +67,10 @@
         if run is not show_version:
             command.add_argument("--operator", metavar="FILE", help="the operator's TOML file")
     chosen = parser.parse_args(arguments)
+    if chosen.operator is not None:
+        # paho opens its sockets and selects through the standard library; patching it costs half of the
+        # start's time, so the platform's invoker, which has no paho, starts without
+        monkey.patch_all()
     try:
         return int(chosen.run(chosen))
     except ConfigError as error:
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -3,25 +3,21 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from . import interface as i
-from .core.calls import CallMaker
-from .descriptions import DescriptionError, read_asyncapi
 from .limits import Limits
-from .mqtt.front import MqttSettings
-from .mqtt.triggers import TriggerReader
 from .net.hostlist import Known, address
-from .ops import OpsSettings
-from .plugins import PluginSettings
 from .settings import read_settings
 
+if TYPE_CHECKING:  # only an invoker with an operator's file loads what that file may turn on
+    from .operator_file import OperatorFile
+
 
 class ConfigError(ValueError):
     """A key that can't be used; the message begins with its name."""
@@ -45,16 +41,6 @@
     known: Known = msgspec.field(default_factory=Known)
 
 
-class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
-    """What an operator may add; without it only the platform's front is there."""
-
-    mqtt: MqttSettings | None = None
-    plugin: PluginSettings | None = None
-    ops: OpsSettings | None = None
-    asyncapi: str | None = None  # a document that adds triggers
-    limits: dict[str, float] = {}
-
-
 @dataclass(slots=True)
 class Config:
     """What the invoker was told, checked."""
@@ -68,7 +54,7 @@
     zones: list[str]
     kinds: list[str]
     limits: Limits
-    operator: OperatorFile
+    operator: OperatorFile | None
 
 
 def read_address(key: str, text: str) -> tuple[str, int]:
@@ -101,41 +87,6 @@
     return replace(filled, **{k: type(getattr(usual, k))(v) for k, v in own.items()})
 
 
-def read_operator(path: str | None) -> OperatorFile:
-    """The operator's TOML file; paths in it are taken from its own folder."""
-    if path is None:
-        return OperatorFile()
-    try:
-        told = msgspec.convert(tomllib.loads(Path(path).read_text()), OperatorFile, strict=False)
-        folder = Path(path).parent
-        if told.plugin is not None:
-            told.plugin.file = str(folder / told.plugin.file)
-        if told.asyncapi is not None:
-            if told.mqtt is None:
-                raise ConfigError("asyncapi: triggers need an [mqtt] table")
-            told.mqtt.trigger = told.mqtt.trigger + read_asyncapi(str(folder / told.asyncapi))
-    except (OSError, ValueError, msgspec.MsgspecError, DescriptionError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    if told.ops is not None:
-        read_address("ops.listen", told.ops.listen)
-    return told
-
-
-def check_mqtt(told: MqttSettings, settings: i.Settings, limits: Limits) -> None:
-    read_address("mqtt.broker", told.broker)
-    if told.version not in ("5", "3.1.1"):
-        raise ConfigError(f"mqtt.version: '5' or '3.1.1' is wanted, not {told.version!r}")
-    for key, least, most in (("receive_maximum", 1, 4096), ("keepalive_s", 5, 65535), ("remember_s", 7, 1e6)):
-        if not least <= getattr(told, key) <= most:
-            raise ConfigError(f"mqtt.{key}: {least} to {most} is wanted")
-    if not told.trigger:
-        raise ConfigError("mqtt.trigger: at least one is needed")
-    try:
-        TriggerReader(told.trigger, CallMaker(settings, limits))
-    except ValueError as error:
-        raise ConfigError(str(error)) from None
-
-
 def read_config(operator_path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
     """RELAY_CONFIG, with RELAY_NAME and RELAY_LISTEN over it, and the operator's file, where there is one."""
     path = env.get("RELAY_CONFIG")
@@ -155,10 +106,14 @@
         seed = int(told.seed or "0", 16)
     except ValueError:
         raise ConfigError(f"seed: not a hexadecimal number: {told.seed!r}") from None
-    operator = read_operator(operator_path)
-    limits = read_limits(told.limits, told.settings, operator.limits)
-    if operator.mqtt is not None:
-        check_mqtt(operator.mqtt, settings, limits)
+    operator = None
+    if operator_path is not None:
+        from .operator_file import read_operator
+
+        operator = read_operator(operator_path)
+    limits = read_limits(told.limits, told.settings, {} if operator is None else operator.limits)
+    if operator is not None:
+        operator.check(settings, limits)
     return Config(
         name=env.get("RELAY_NAME") or told.name or "-",
         listen=read_address("RELAY_LISTEN", env.get("RELAY_LISTEN") or told.listen),
--- /dev/null
+++ b/harrieryoke/operator_file.py
@@ -0,0 +1,97 @@
+"""The operator's file: read, checked, and what it turns on. The platform gives none and loads none of it."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from . import interface as i
+from .config import ConfigError, read_address
+from .core.actor import now_ms
+from .core.calls import CallMaker
+from .core.module import ModuleActor
+from .descriptions import DescriptionError, read_asyncapi
+from .limits import Limits
+from .log import Log
+from .mqtt.front import BrokerActor, MqttSettings
+from .mqtt.triggers import TriggerReader
+from .ops import OpsServer, OpsSettings
+from .plugins import Hooks, PluginError, PluginSettings
+
+
+@dataclass(slots=True)
+class Parts:
+    """The running parts that a file may turn on."""
+
+    broker: BrokerActor | None = None
+    hooks: Hooks | None = None
+    ops: OpsServer | None = None
+
+
+class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
+    """What an operator may add; without it only the platform's front is there."""
+
+    mqtt: MqttSettings | None = None
+    plugin: PluginSettings | None = None
+    ops: OpsSettings | None = None
+    asyncapi: str | None = None  # a document that adds triggers
+    limits: dict[str, float] = {}
+
+    def check(self, settings: i.Settings, limits: Limits) -> None:
+        """What can only be checked against the platform's configuration."""
+        if self.mqtt is not None:
+            check_mqtt(self.mqtt, settings, limits)
+
+    def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
+              answer: Callable[[str], tuple[int, Any]]) -> Parts:  # fmt: skip
+        """What the file turns on, made ready."""
+        made = Parts()
+        if self.mqtt is not None:
+            where = read_address("mqtt.broker", self.mqtt.broker)
+            made.broker = BrokerActor(self.mqtt, where, maker, core, limits, log)
+        if self.plugin is not None:
+            try:
+                made.hooks = Hooks(self.plugin, settings, limits, log, now_ms)
+            except PluginError as error:
+                raise ConfigError(str(error)) from None
+        if self.ops is not None:
+            made.ops = OpsServer(read_address("ops.listen", self.ops.listen), answer, limits, log)
+        return made
+
+
+def read_operator(path: str) -> OperatorFile:
+    """The operator's TOML file; paths in it are taken from its own folder."""
+    try:
+        told = msgspec.convert(tomllib.loads(Path(path).read_text()), OperatorFile, strict=False)
+        folder = Path(path).parent
+        if told.plugin is not None:
+            told.plugin.file = str(folder / told.plugin.file)
+        if told.asyncapi is not None:
+            if told.mqtt is None:
+                raise ConfigError("asyncapi: triggers need an [mqtt] table")
+            told.mqtt.trigger = told.mqtt.trigger + read_asyncapi(str(folder / told.asyncapi))
+    except (OSError, ValueError, msgspec.MsgspecError, DescriptionError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if told.ops is not None:
+        read_address("ops.listen", told.ops.listen)
+    return told
+
+
+def check_mqtt(told: MqttSettings, settings: i.Settings, limits: Limits) -> None:
+    read_address("mqtt.broker", told.broker)
+    if told.version not in ("5", "3.1.1"):
+        raise ConfigError(f"mqtt.version: '5' or '3.1.1' is wanted, not {told.version!r}")
+    for key, least, most in (("receive_maximum", 1, 4096), ("keepalive_s", 5, 65535), ("remember_s", 7, 1e6)):
+        if not least <= getattr(told, key) <= most:
+            raise ConfigError(f"mqtt.{key}: {least} to {most} is wanted")
+    if not told.trigger:
+        raise ConfigError("mqtt.trigger: at least one is needed")
+    try:
+        TriggerReader(told.trigger, CallMaker(settings, limits))
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -9,17 +9,14 @@
 import gevent
 from gevent.event import AsyncResult, Event
 
-from .config import Config, ConfigError, read_address
+from .config import Config
 from .core.actor import Actor, now_ms
 from .core.calls import CallMaker
 from .core.module import ModuleActor
 from .core.records import Counted, Stopping
 from .log import Log
-from .mqtt.front import BrokerActor
 from .net.hostlist import BusFollower, HostListActor
 from .net.platform import PlatformFront, StopListening
-from .ops import OpsServer
-from .plugins import Hooks, PluginError
 
 
 class Service:
@@ -27,28 +24,17 @@
 
     def __init__(self, config: Config, log: Log) -> None:
         self.config, self.log, self.limits = config, log, config.limits
-        settings, operator = config.settings, config.operator
+        settings = config.settings
         self.core = ModuleActor(settings, config.seed, self.limits, log)
         self.hosts = HostListActor(config.zones, config.kinds, settings.classes, self.limits, log,
                                    self.core.push, self.core.push)  # fmt: skip
         self.bus = BusFollower(config.bus, config.known.offset, self.limits, log, self.hosts.push)
         maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, maker, self.core, self.limits, log)
-        self.broker: BrokerActor | None = None
-        self.ops: OpsServer | None = None
-        self.hooks: Hooks | None = None
-        if operator.mqtt is not None:
-            where = read_address("mqtt.broker", operator.mqtt.broker)
-            self.broker = BrokerActor(operator.mqtt, where, maker, self.core, self.limits, log)
-        if operator.plugin is not None:
-            try:
-                self.hooks = Hooks(operator.plugin, settings, self.limits, log, now_ms)
-            except PluginError as error:
-                raise ConfigError(str(error)) from None
-            self.core.table.hooks = self.hooks
-        if operator.ops is not None:
-            where = read_address("ops.listen", operator.ops.listen)
-            self.ops = OpsServer(where, self.answer, self.limits, log)
+        self.parts = None if config.operator is None else config.operator.parts(
+            settings, self.core, maker, self.limits, log, self.answer)  # fmt: skip
+        self.broker = None if self.parts is None else self.parts.broker
+        self.core.table.hooks = None if self.parts is None else self.parts.hooks
         self.stop = Event()
 
     def start(self) -> None:
@@ -57,7 +43,7 @@
         self.core.start()
         self.bus.start()
         self.front.start()
-        for part in (self.hooks, self.broker, self.ops):
+        for part in () if self.parts is None else (self.parts.hooks, self.parts.broker, self.parts.ops):
             if part is not None:
                 part.start()
         self.log("started", f"listening on {self.config.listen[0]}:{self.config.listen[1]}")
