--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -24,6 +24,8 @@
     links_per_host: int = 4
     dial_ms: float = 250.0
     write_ms: float = 1000.0
+    vanished_ms: float = 5000.0
+    client_idle_ms: float = 60000.0
     link_idle_ms: float = 30000.0
     timer_slack_ms: float = 5.0
     answer_margin_ms: float = 8.0
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -18,8 +18,9 @@
 from paho.mqtt.properties import Properties
 from paho.mqtt.subscribeoptions import SubscribeOptions
 
+from .. import interface as i
 from ..core.actor import Actor, now_ms, spawn
-from ..core.calls import BadCall, CallMaker
+from ..core.calls import CallMaker
 from ..core.module import ModuleActor
 from ..core.records import Call, Counted
 from ..limits import Limits
@@ -251,23 +252,22 @@
             self.by_mid[m.mid] = taken
         try:
             call = self.reader.read(m)
-        except BadCall as error:
+        except Exception as error:
+            # beside BadCall, guards the actor against what a schema or a payload may raise in its libraries
             self.counts["malformed"] += 1
-            self.log("bad-trigger", f"{m.topic[:80]}: {error}")
+            self.log("bad-trigger", f"{m.topic[:80]}: {type(error).__name__}: {str(error)[:200]}")
             return self.finish_trigger(taken, Final("failed", reason=str(error)))
         if call.key is not None and self.known_key(taken, call):
             return
-        if m.dup and self.inherited and call.key is not None:
-            # guards against a second effect: an earlier life of this process may have called it, and by now
-            # the rack's window may have passed
-            final = Final("failed", reason="delivered before this start: it may have run")
-            self.memory.begin(f"{call.class_index} {call.key}", now_ms(), taken)
-            self.memory.end(f"{call.class_index} {call.key}", now_ms(), final)
-            return self.finish_trigger(taken, final)
         if call.key is not None:
             taken.key = f"{call.class_index} {call.key}"
             self.memory.begin(taken.key, now_ms(), taken)
         self.calls[call] = taken
+        kind = self.reader.maker.settings.classes[call.class_index]
+        if m.dup and self.inherited and kind.effect is not i.Effect.SAFE:
+            # guards against a second effect: an earlier life of this process may have called it, and by now
+            # the rack's window may have passed
+            return self.answered(call, Final("failed", reason="delivered before this start: it may have run"))
         self.core.offer(call, self)
 
     def known_key(self, taken: Taken, call: Call) -> bool:
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -235,6 +235,8 @@
             self.log("dial-failed", f"{self.name}: {error}")
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # guards against a host that vanished with its link open: what it does not acknowledge ends the link
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
         sock.settimeout(self.limits.write_ms / 1000)
         link = Link(sock, used=now_ms())
         self.links.append(link)
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -161,10 +161,11 @@
     def __init__(self, where: tuple[str, int], last: int, limits: Limits, log: Log,
                  tell: Callable[[BusSaid], Any]) -> None:  # fmt: skip
         self.where, self.last, self.limits, self.log, self.tell = where, last, limits, log, tell
+        self.greenlet: gevent.Greenlet | None = None
         self.decoder: msgspec.json.Decoder[BusEvent | int] = msgspec.json.Decoder(BusEvent | int)
 
     def start(self) -> None:
-        spawn(self.log, "event bus", self.run, None)
+        self.greenlet = spawn(self.log, "event bus", self.run)
 
     def run(self) -> None:
         pause = self.limits.bus_backoff_ms
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -78,7 +78,7 @@
 
 
 class CloseIfIdle:
-    """The invoker stops: connections without an open request go."""
+    """Nothing more is expected here: the connection goes once no request is open on it."""
 
 
 class ClientActor(Actor):
@@ -88,6 +88,8 @@
                  log: Log, gone: Callable[[ClientActor], object]) -> None:  # fmt: skip
         # the reserve is kept for answers: they must find room however fast a client writes
         super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox // 2)
+        # guards against a client that does not read: its answer fails, and its connection ends
+        sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
@@ -115,9 +117,19 @@
 
     def read(self) -> None:
         """The reader's greenlet: cuts the stream into lines."""
-        rest = b""
+        rest, heard = b"", now_ms()
         try:
-            while data := self.sock.recv(65536):
+            while True:
+                try:
+                    data = self.sock.recv(65536)
+                except TimeoutError:
+                    if now_ms() - heard > self.limits.client_idle_ms:
+                        # guards the descriptors against clients that never close
+                        self.push(CloseIfIdle())
+                    continue
+                if not data:
+                    break
+                heard = now_ms()
                 *lines, rest = (rest + data).split(b"\n")
                 for line in lines:
                     if len(line) > self.limits.line_bytes or not self.push(Line(line, now_ms())):
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent.event import AsyncResult, Event
 
-from .config import Config
+from .config import Config, ConfigError
 from .core.actor import Actor, now_ms
 from .core.calls import CallMaker
 from .core.module import ModuleActor
@@ -35,14 +35,17 @@
             settings, self.core, maker, self.limits, log, self.answer)  # fmt: skip
         self.broker = None if self.parts is None else self.parts.broker
         self.core.table.hooks = None if self.parts is None else self.parts.hooks
-        self.stop = Event()
+        self.stop, self.broken = Event(), False
 
     def start(self) -> None:
         self.hosts.begin(self.config.known)
         self.hosts.start()
         self.core.start()
         self.bus.start()
-        self.front.start()
+        try:
+            self.front.start()
+        except OSError as error:
+            raise ConfigError(f"RELAY_LISTEN: {error}") from None
         for part in () if self.parts is None else (self.parts.hooks, self.parts.broker, self.parts.ops):
             if part is not None:
                 part.start()
@@ -53,9 +56,19 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.stop.set)
         self.start()
+        for part in (self.core, self.hosts, self.bus, self.front):
+            if part.greenlet is not None:
+                part.greenlet.link(self.part_ended)
         gc.freeze()
         self.stop.wait()
-        return self.wind_down()
+        return 1 if self.broken else self.wind_down()
+
+    def part_ended(self, greenlet: gevent.Greenlet) -> None:
+        """Guards against living on without a vital part: whoever started the process starts it anew."""
+        if not self.stop.is_set():
+            self.log("broken", "a part that the invoker can't be without has ended")
+            self.broken = True
+            self.stop.set()
 
     def wind_down(self) -> int:
         """New connections go on coming for a while after SIGTERM: they are served too."""
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -162,6 +162,19 @@
     run(tmp_path, text, operator=TEMPLATE, window=window)
 
 
+@pytest.mark.parametrize("version", ["5", "3.1.1"])
+def test_a_full_table_leaves_the_rest_with_the_broker(version: str, tmp_path: Path) -> None:
+    operator = TEMPLATE.replace('version = "5"', f'version = "{version}"')
+    scene = Scene(tmp_path, operator=operator.replace("receive_maximum = 64", "receive_maximum = 1"))
+    scene.broker.v5 = version == "5"
+    text = "expect h1 request op=r1\nsend h1 ok body=a\nexpect broker served body=a\nexpect broker acked 1"
+    scene.broker.queue += [Publication(HARVEST, b'{"reading":"r%d"}' % n) for n in (1, 2)]
+    until(lambda: scene.broker.delivered == (1 if version == "5" else 2), scene.broker)
+    scene.play(text + "\nexpect h1 request op=r2\nsend h1 ok body=b\nexpect broker served body=b")
+    scene.play("expect broker acked 2")
+    assert scene.broker.most_unacked == (1 if version == "5" else 2) and "died" not in scene.end()
+
+
 def test_the_memory_of_keys_forgets_by_time_and_drops_bodies_by_size() -> None:
     memory: KeyMemory[str] = KeyMemory(1000.0, 10, 3)
     memory.begin("a", 0.0, "w")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -191,3 +191,23 @@
     )  # fmt: skip
     assert done.returncode == code, done.stderr
     assert words in done.stdout + done.stderr and "Traceback" not in done.stderr
+
+
+@pytest.mark.parametrize(("broken", "code", "words"), [
+    ("", 2, "configuration: RELAY_LISTEN: "),
+    ("from harrieryoke.core.module import ModuleActor; ModuleActor.step = lambda *a: [][0]", 1, "broken"),
+    ("from harrieryoke.net.hostlist import BusFollower; BusFollower.follow = lambda *a: {}[0]", 1, "broken"),
+])  # fmt: skip
+def test_without_a_vital_part_it_ends_and_says_so(broken: str, code: int, words: str, tmp_path: Path) -> None:
+    taken = listener()
+    free = listener()
+    listen = where(free if broken else taken)
+    free.close()
+    (tmp_path / "config.json").write_text(json.dumps(CONFIG | {"listen": listen}))
+    script = f"{broken}\nfrom harrieryoke.cli import main\nraise SystemExit(main(['serve']))"
+    done = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT, check=False, timeout=60,
+        env=os.environ | {"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_LISTEN": listen},
+    )  # fmt: skip
+    taken.close()
+    assert done.returncode == code and words in done.stderr, done.stderr
