Bound the memory that the bodies of open requests may hold

Conclusion: bodies hold at most 0.15 of the memory; beyond it a request is refused at once with advice.

--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -34,7 +34,8 @@
         self.numbers: dict[Call, int] = {}
         self.rids: dict[str, int] = {}
         self.tasks: dict[Task, HostPort | None] = {}
-        self.serial = 0
+        self.serial = self.held = 0
+        self.most = limits.body_share * limits.memory_mb * 2**20
         self.latest = float("inf")  # no answer is owed after this: the process is stopping
         self.counts = dict.fromkeys(("taken", "served", "refused", "failed", "withdrawn", "guarded"), 0)
 
@@ -45,12 +46,15 @@
             front.failed(call, "a request with this id is open")
             return None
         due = min(call.due, self.latest) - self.limits.answer_margin_ms
-        if len(self.entries) >= self.limits.open_calls or due <= now:
-            # nothing was sent: a full table or a time already over is a plain refusal
+        full = len(self.entries) >= self.limits.open_calls or self.held + len(call.body) > self.most
+        if full or due <= now:
+            # guards the memory, which is hard: what is open may not hold more than its share of it. Nothing
+            # was sent: a full table or a time already over is a plain refusal
             front.refused(call, self.settings.max_retry_after or None)
             return None
         self.serial += 1
         self.counts["taken"] += 1
+        self.held += len(call.body)
         entry = self.entries[self.serial] = Entry(self.serial, call, front, due)
         self.numbers[call], self.rids[call.rid] = self.serial, self.serial
         return i.RequestArrived(entry.number, call.class_index, call.function, due, call.tenant, None,
@@ -66,6 +70,7 @@
 
     def close(self, entry: Entry, how: str) -> None:
         self.counts[how] += 1
+        self.held -= len(entry.call.body)
         if self.hooks is not None:
             self.hooks.outcome(entry.call, how)
         del self.entries[entry.number], self.numbers[entry.call], self.rids[entry.call.rid]
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -16,7 +16,7 @@
     header_bytes: int = 16 * 1024
     open_per_connection: int = 32
     open_calls: int = 20000
-    client_mailbox: int = 128
+    client_mailbox: int = 64
     host_mailbox: int = 1024
     list_mailbox: int = 256
     module_mailbox: int = 16384
@@ -34,5 +34,6 @@
     bus_backoff_most_ms: float = 1000.0
     stop_accepting_ms: float = 650.0
     stop_within_ms: float = 3500.0
+    body_share: float = 0.15  # of the memory, for the bodies of open requests
     log_lines_per_s: int = 20
     keys: int = 50000
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -87,7 +87,7 @@
     def __init__(self, sock: socket.socket, name: str, maker: CallMaker, core: ModuleActor, limits: Limits,
                  log: Log, gone: Callable[[ClientActor], object]) -> None:  # fmt: skip
         # the reserve is kept for answers: they must find room however fast a client writes
-        super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox // 2)
+        super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
         # guards against a client that does not read: its answer fails, and its connection ends
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
@@ -117,30 +117,32 @@
 
     def read(self) -> None:
         """The reader's greenlet: cuts the stream into lines."""
-        rest, heard = b"", now_ms()
+        rest: bytes | None = b""
+        heard = now_ms()
         try:
-            while True:
+            while rest is not None:
                 try:
-                    data = self.sock.recv(65536)
+                    data = self.sock.recv(self.limits.line_bytes // 4)
                 except TimeoutError:
                     if now_ms() - heard > self.limits.client_idle_ms:
                         # guards the descriptors against clients that never close
                         self.push(CloseIfIdle())
                     continue
-                if not data:
-                    break
                 heard = now_ms()
-                *lines, rest = (rest + data).split(b"\n")
-                for line in lines:
-                    if len(line) > self.limits.line_bytes or not self.push(Line(line, now_ms())):
-                        break
-                if len(rest) > self.limits.line_bytes or any(len(n) > self.limits.line_bytes for n in lines):
-                    self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
-                    break
+                rest = self.cut(rest + data) if data else None
         except OSError:
             pass
         self.push(Ended())
 
+    def cut(self, data: bytes) -> bytes | None:
+        """Posts the whole lines and returns the rest, or None where a line is too long. The lines stay alive
+        here only: the reader would hold them while it waits, for each of hundreds of clients."""
+        *lines, rest = data.split(b"\n")
+        if max(map(len, lines), default=0) > self.limits.line_bytes or len(rest) > self.limits.line_bytes:
+            self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
+            return None
+        return rest if all(self.push(Line(line, now_ms())) for line in lines) else None
+
     def receive(self, message: Any) -> None:
         match message:
             case Line(data, at):
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -99,7 +99,6 @@
         self.unacked: dict[int, Publication] = {}
         self.answers: list[Publication] = []
         self.acked = self.delivered = self.redelivered = self.most_unacked = 0
-        self.publish_dups = 0
         self.seen_mids: set[int] = set()
         self.connections = 0
         self.closed_in_order = False
@@ -195,7 +194,6 @@
             topic = cut.text().decode()
             mid_ = cut.number(2)
             told = cut.properties() if self.v5 else {}
-            self.publish_dups += bool(flags & 8)
             if not (flags & 8 and mid_ in self.seen_mids):
                 self.answers.append(Publication(topic, body[cut.at :], correlation=told.get(CORRELATION)))
             self.seen_mids.add(mid_)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -167,6 +167,14 @@
     assert sorted(b.step(after=301)) == ["failed a", "refused b", "revoked"]
 
 
+def test_bodies_beyond_their_share_of_the_memory_are_refused_until_there_is_room_again() -> None:
+    b = Bench()
+    b.actor.table.most = 10
+    calls = [Call(rid, 0, "f", b.now + 100, b"123456") for rid in "abc"]
+    assert b.step(Taken(calls[0], b.peers), Taken(calls[1], b.peers)) == ["refused b"]
+    assert b.step(Withdrawn(calls[0]), Taken(calls[2], b.peers)) == [] and b.actor.table.held == 6
+
+
 def test_two_open_requests_under_one_id_and_one_whose_time_is_over() -> None:
     b = Bench()
     b.take()
