Count good answers ahead of a bad frame, and close a link whose frame stops short

In a scenario a good answer in the same chunk as the bad frame behind it was thrown away and its request sent again, and an answer without its last bytes left its link open: what came behind it was read as its rest, until the deadlines.

Checked and ruled out: the decoder itself (lengths of 3 GB, marks and check sums are refused at once); unknown ids and second copies, which are dropped without harm; dials, which happen only where no link has room.

Lines at fault: net/host.py read() (`list(decoder.feed(...))` loses what the generator gave before its error), tidy() (no look at a frame that has begun), close() (a request whose write failed ended as RESET, though a host acts on whole frames alone: keyed requests then were bound to their rack, or failed).

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -42,8 +42,10 @@
     """One connection, and what is open on it by frame id."""
 
     sock: socket.socket
+    decoder: frames.Decoder
     open: dict[int, Task] = field(default_factory=dict)
     used: float = 0.0
+    part_since: float | None = None  # a frame has begun and its rest has not come; its reader alone writes it
 
 
 @dataclass(slots=True)
@@ -124,7 +126,8 @@
 
     def run(self) -> None:
         while not self.over:
-            self.wait(self.limits.link_idle_ms / 4)
+            partial = any(link.part_since is not None for link in self.links)
+            self.wait(self.limits.frame_ms / 2 if partial else self.limits.link_idle_ms / 4)
             self.work()
             self.tidy()
             if self.retiring and not self.places and not self.box:
@@ -178,7 +181,7 @@
         id, data = self.frame_for(task, link, now)
         task.begun = True
         link.open[id], self.places[task] = task, (link, id)
-        self.write(link, data)
+        self.write(link, data, task)
 
     def frame_for(self, task: Task, link: Link, now: float) -> tuple[int, bytes]:
         if isinstance(task, Attempt):
@@ -210,12 +213,12 @@
         if open_to_it and (link := self.link_for_one_more()):
             self.write(link, frames.encode(frames.UNLOAD, int(function, 16)))
 
-    def write(self, link: Link, data: bytes) -> None:
+    def write(self, link: Link, data: bytes, unwritten: Task | None = None) -> None:
         try:
             link.sock.sendall(data)
             link.used = now_ms()
         except OSError as error:
-            self.close(link, f"write: {error}")
+            self.close(link, f"write: {error}", unwritten)
 
     # --- links ---
 
@@ -238,7 +241,7 @@
         # guards against a host that vanished with its link open: what it does not acknowledge ends the link
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
         sock.settimeout(self.limits.write_ms / 1000)
-        link = Link(sock, used=now_ms())
+        link = Link(sock, frames.Decoder(self.limits.body_bytes), used=now_ms())
         self.links.append(link)
         spawn(self.log, f"{self.name} reader", lambda: self.read(link))
         return link
@@ -253,7 +256,7 @@
 
     def read(self, link: Link) -> None:
         """The reader's greenlet: turns bytes into messages, and says how the link ended."""
-        decoder, reason = frames.Decoder(self.limits.body_bytes), "closed by the host"
+        reason = "closed by the host"
         try:
             while True:
                 try:
@@ -262,9 +265,17 @@
                     continue
                 if not data:
                     break
-                heard = list(decoder.feed(data))
-                if heard and not self.push(Heard(link, heard)):
-                    break
+                heard: list[frames.Frame] = []
+                try:
+                    for frame in link.decoder.feed(data):
+                        heard.append(frame)
+                finally:
+                    # guards the good answers ahead of a bad frame; and a frame that has only begun wakes the
+                    # actor too, so that somebody looks whether its rest comes
+                    began, rest = link.part_since, bool(link.decoder.rest)
+                    link.part_since = (now_ms() if heard or began is None else began) if rest else None
+                    if heard or (began is None and rest):
+                        self.push(Heard(link, heard))
         except frames.FrameError as error:
             reason = f"bad frame: {error}"
             self.log("bad-frame", f"{self.name}: {error}")
@@ -272,8 +283,9 @@
             reason = f"read: {error}"
         self.push(Lost(link, reason))
 
-    def close(self, link: Link, reason: str) -> None:
-        """What was out on a link that ends may have run; the host has given it up."""
+    def close(self, link: Link, reason: str, unwritten: Task | None = None) -> None:
+        """What was out on a link that ends may have run; the host has given it up. What was never written
+        whole has not run: a host acts on whole frames alone."""
         if link not in self.links:
             return
         self.links.remove(link)
@@ -282,12 +294,18 @@
             self.log("link-lost", f"{self.name}: {reason}; {len(link.open)} out")
         for task in link.open.values():
             del self.places[task]
-            self.end(task, i.Outcome.RESET)
+            self.end(task, i.Outcome.NOT_SENT if task is unwritten else i.Outcome.RESET)
         link.open.clear()
 
     def tidy(self) -> None:
         """Closes links that lie idle a little before the host would: no request crosses such a close."""
-        late = now_ms() - 0.8 * self.limits.link_idle_ms
+        now = now_ms()
+        for link in list(self.links):
+            if link.part_since is not None and now - link.part_since > self.limits.frame_ms:
+                # guards against an answer that stops short: what comes behind it would be its rest
+                self.log("bad-frame", f"{self.name}: the rest of a frame has not come")
+                self.close(link, "a frame stopped short")
+        late = now - 0.8 * self.limits.link_idle_ms
         for link in [k for k in self.links if not k.open and (k.used < late or self.retiring)]:
             self.close(link, "idle")
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -267,12 +267,15 @@
     # --- model hosts ---
 
     def send_host(self, party: Party, words: list[str]) -> None:
-        """`ok|miss|... [of=hold] [body=TEXT] [field=value ...]` answers the newest frame; `raw TEXT`."""
+        """`ok|miss|... [of=hold] [body=TEXT] [field=value ...] [then=TEXT] [short=BYTES]` answers the newest
+        frame, with more behind it or without its end; `raw TEXT`."""
         if words[0] == "raw":
             return party.sock().sendall(words[1].encode())
         given = dict(w.split("=", 1) for w in words[1:])
         id, body = party.last[CODES[given.pop("of", "request")]], given.pop("body", "").encode()
-        party.sock().sendall(frames.encode(CODES[words[0]], id, given, body, frames.FROM_HOST))
+        then, short = given.pop("then", "").encode(), int(given.pop("short", "0"))
+        data = frames.encode(CODES[words[0]], id, given, body, frames.FROM_HOST) + then
+        party.sock().sendall(data[: len(data) - short])
 
     def expect_host(self, party: Party, words: list[str]) -> None:
         """`request|give-up|hold|unload [body=TEXT] [field=value ...]`, or `end`."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,13 @@
 
 import pytest
 
+from harrieryoke import interface as i
+from harrieryoke.core.records import Attempt, Call, TaskEnded
+from harrieryoke.limits import Limits
+from harrieryoke.log import Log
+from harrieryoke.net.frames import Decoder
+from harrieryoke.net.host import HostActor, Link, Standing
+
 from .scenario import Scene, run
 
 HUGE = "A" * 40000
@@ -75,6 +82,21 @@
         expect h1 request body=x
         send h1 ok body=y
         expect c1 1 result y""",
+    "a good answer counts, also with a bad frame in the same chunk behind it": """
+        send c1 call 1 weight-read body=x
+        expect h1 request
+        send h1 ok body=y then='no frame at all, but long enough for one'
+        expect c1 1 result y
+        wait bad-frame
+        expect h1 end""",
+    "an answer that stops short ends its link soon, and what is open there goes again": """
+        send c1 call 1 weight-read body=x
+        expect h1 request
+        send h1 ok body=y short=3
+        expect h1 end
+        expect h1 request body=x
+        send h1 ok body=z
+        expect c1 1 result z""",
     "a request over at the host has never run and goes again": """
         send c1 call 1 harvest-log token=k
         expect h1 request
@@ -262,6 +284,24 @@
     run(tmp_path, ONE[name])
 
 
+def test_what_was_never_written_whole_has_not_run_and_the_rest_of_its_link_may_have() -> None:
+    class Broken:
+        def sendall(self, data: bytes) -> None:
+            raise ConnectionResetError
+
+        def close(self) -> None: ...
+
+    ends: list[TaskEnded] = []
+    kinds = (i.RequestClass("weight-read", 1000, 4000),)
+    actor = HostActor("h", Standing(("127.0.0.1", 9)), kinds, Limits(), Log(), ends.append)
+    old, new = (Attempt(1, 1e18, 0.0, call=Call(f"{n:016x}", 0, "f", 1e18)) for n in (1, 2))
+    link = Link(Broken(), Decoder(0), {1: old})
+    actor.links.append(link)
+    actor.places[old] = (link, 1)
+    actor.send(new)
+    assert {e.task: e.outcome for e in ends} == {old: i.Outcome.RESET, new: i.Outcome.NOT_SENT}
+
+
 def test_without_a_model_host_a_call_is_refused_with_advice(tmp_path: Path) -> None:
     run(tmp_path, "send c1 call 1 weight-read budget=200\nexpect c1 1 error -32050", hosts=0)
 
