Count the memory held at a worker once an order, not once for each function there

A sampling profile: 42 % of the decision module's time in make_room's inner sum.

Checked and ruled out: descriptors (25 of 1,024), memory (21 of 128 MB), full hosts (none). Lines at fault: brain.py make_room() summed all copies at the worker anew for each function there, quadratic in the functions.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -261,11 +261,14 @@
     def make_room(self, f: Function, wid: int) -> None:
         """Drops our idle extra copies at a worker that our account shows short of memory for this load."""
         room = dict(enumerate(self.s.memory_by_kind)).get(self.workers[wid].entry.kind, float("inf"))
-        here = [g for g in self.functions.values() if wid in g.copies]
-        for g in here if wid not in f.copies else []:
-            short = f.memory + sum(h.copies[wid].count * h.memory for h in here if wid in h.copies) > room
+        here = [g for g in self.functions.values() if wid in g.copies] if wid not in f.copies else []
+        held = f.memory + sum(g.copies[wid].count * g.memory for g in here)
+        for g in here:
+            if held <= room:  # guards the core against counting anew for each function, which is quadratic
+                return
             quiet = self.now - g.copies[wid].seen > self.shortest_aim * self.s.front_ends
-            if short and quiet and not g.mine.get(wid) and len(g.copies) > 1:
+            if quiet and not g.mine.get(wid) and len(g.copies) > 1:
+                held -= g.copies[wid].count * g.memory
                 self.drop(g, wid)
 
     def loading(self, f: Function) -> bool:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,6 +7,7 @@
 import pytest
 
 from harrieryoke import interface as i
+from harrieryoke.state import Copy, Function
 
 from .rig import PROOF, SETTINGS, Rig, loads, sends, workers
 
@@ -271,6 +272,30 @@
     assert set(router.workers) == {1}
 
 
+def test_an_order_counts_the_memory_held_at_its_worker_once() -> None:
+    """Seen in a profile of the day of the highest rate: counting it for each function took 40 % of a core."""
+    class Weighed(Function):
+        read = 0
+
+        @property
+        def memory(self) -> float:
+            Weighed.read += 1
+            return 400.0
+
+        @memory.setter
+        def memory(self, told: float) -> None: ...
+
+    rig = Rig(count=2)
+    for n in range(50):
+        copies = {1: Copy(1, -1e6), 2: Copy(1, -1e6)}
+        rig.router.functions[f"g{n}"] = Weighed(f"g{n}", n, 0, 500, 100, copies=copies)
+    rig.router.handle(rig.now, [])
+    new = Weighed("new", 50, 0, 500, 100)
+    rig.router.make_room(new, 1)
+    here = [g for g in rig.router.functions.values() if 1 in g.copies]
+    assert len(here) == 9 and Weighed.read < 200  # nine and the new one fit
+
+
 def test_a_lost_connection_halves_the_places_at_its_worker_and_no_more() -> None:
     """Seen on the churn day: each reset took a worker from 14 places to one, and the others jammed."""
     rig = Rig(count=1)
