Keep a worker in use after a reset unless nothing came from it since the one before

The logs have 132 lost links at three invokers, spread over all six hosts, each followed by the host being out until an ask was answered, its limit halved; and eight dial-failed, all "connection reset by peer", each of which declared its host dead: copies forgotten, budget of a cold one.

Checked and ruled out: restarts (the worker list told of none in that time), bad frames (none), refused connections (no ECONNREFUSED in any log), CPU (0.43 of a core in the busiest second).

Lines at fault: brain.py learn() and order_ended() take a worker out at every RESET; net/host.py dial() reports a reset handshake as no connection.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -140,14 +140,22 @@
         first, self.outs = not w.backoff, self.outs + (not w.out)
         w.backoff = min(max(2 * w.backoff, self.s.connect_timeout), self.s.keep_alive)
         w.out, w.asked, w.dead, least = True, False, dead, max(1.0, LEAST_LIMIT / self.s.front_ends)
-        # a lost connection alone does not tell of too much to do: its worker keeps half of its places
-        w.load.limit = least if dead else max(least, w.load.limit / 2)
+        w.load.limit = least if dead else max(least, w.load.limit / 2)  # silence proves no overload
         if dead:
             self.begin_cold(w, self.now)
         # where there is no means to ask, the pause alone must do
         pause = 0.0 if first and not dead and self.s.may_order else w.backoff * (0.5 + self.rng.random())
         self.later(pause, self.ask if self.s.may_order else self.back, w)
 
+    def cut_off(self, w: Worker) -> None:
+        """A connection broke off. That proves no restart (a dead one refuses the next) and tells of no load:
+        the worker is out only if nothing came from it since the last break. Guards against storms of resets,
+        which took workers out one after the other and wore their limits down."""
+        again = self.now - w.cut > self.s.connect_timeout  # what was open on the connection ends together
+        if again and w.heard < w.cut and not w.out:
+            self.take_out(w, dead=False)
+        w.cut = self.now if again else w.cut
+
     def ask(self, w: Worker) -> None:
         if w.out and not w.asked and not w.leaving:
             w.asked, ask = w.up, i.OrderCopies(w.entry.worker, next(iter(self.functions)), 0)
@@ -286,7 +294,9 @@
         if not (w := self.workers.get(e.worker)):
             return
         w.asked = False
-        if e.outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.TIMEOUT):
+        if e.outcome is Outcome.RESET:
+            self.cut_off(w)
+        elif e.outcome in (Outcome.NO_CONNECTION, Outcome.TIMEOUT):
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
         else:
             self.back(w)
@@ -462,8 +472,10 @@
 
     def learn(self, e: i.AttemptEnded, w: Worker, f: Function, r: Request | None, sent: float) -> None:
         wid, aim = w.entry.worker, r.kind.aim if r else self.shortest_aim
-        if e.outcome is Outcome.NO_CONNECTION or (e.outcome is Outcome.RESET and not w.out):
-            self.take_out(w, dead=e.outcome is not Outcome.RESET)  # a reset is no proof of a restart
+        if e.outcome is Outcome.NO_CONNECTION:
+            self.take_out(w, dead=True)
+        elif e.outcome is Outcome.RESET:
+            self.cut_off(w)
         elif e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             self.back(w)
         if e.outcome in (Outcome.OK, Outcome.ERROR):
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -231,9 +231,17 @@
             return None
         return self.dial()
 
+    def connect(self) -> socket.socket:
+        dialled = (self.standing.address, self.limits.dial_ms / 1000)
+        try:
+            return socket.create_connection(*dialled)
+        except ConnectionResetError:
+            # guards against taking a host for dead, its copies lost: a dead one refuses, it does not reset
+            return socket.create_connection(*dialled)
+
     def dial(self) -> Link | None:
         try:
-            sock = socket.create_connection(self.standing.address, self.limits.dial_ms / 1000)
+            sock = self.connect()
         except OSError as error:
             self.log("dial-failed", f"{self.name}: {error}")
             return None
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -77,6 +77,7 @@
     leaving: bool = False  # it has gone from the list and is about to be forgotten
     backoff: float = 0.0
     heard: float = NEVER
+    cut: float = NEVER  # a connection to it last broke off
     full_until: dict[int | None, float] = field(default_factory=dict)  # it turned the tenant's away
     doubts: dict[int, tuple[float, float]] = field(default_factory=dict)  # class -> until, and for how long
     silent: set[int] = field(default_factory=set)  # classes overdue, until one is answered
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from gevent import socket
 
 from harrieryoke import interface as i
 from harrieryoke.core.records import Attempt, Call, TaskEnded
@@ -284,6 +285,23 @@
     run(tmp_path, ONE[name])
 
 
+def test_a_dial_that_is_reset_is_tried_once_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    said = [ConnectionResetError(), socket.socket()]
+
+    def dial(*args: object) -> object:
+        got = said.pop(0)
+        if isinstance(got, OSError):
+            raise got
+        return got
+
+    monkeypatch.setattr(socket, "create_connection", dial)
+    actor = HostActor("h", Standing(("127.0.0.1", 9)), (), Limits(), Log(), lambda ended: None)
+    with actor.connect() as sock:
+        assert sock and not said
+    said.append(ConnectionRefusedError())
+    assert actor.dial() is None
+
+
 def test_what_was_never_written_whole_has_not_run_and_the_rest_of_its_link_may_have() -> None:
     class Broken:
         def sendall(self, data: bytes) -> None:
