Tell the module at once that a host is gone when its address passes to another

Ruled out: the new host's actor, which was up and listed.

Lines at fault: net/hostlist.py host() marks the old host as replaced for its own actor alone. The list now carries its end to the module in the same event.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -143,7 +143,7 @@
             self.ports, self.entries = {}, {}
         self.ports.update(m.ports)
         self.entries.update({e.worker: e for e in m.event.workers})
-        for gone in [e.worker for e in m.event.workers if e.drain is i.Drain.GONE]:
+        for gone in [worker for worker, e in self.entries.items() if e.drain is i.Drain.GONE]:
             # guards the memory against hosts that are replaced under ever new ids
             self.ports.pop(gone, None)
             del self.entries[gone]
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -80,6 +80,7 @@
         self.zones, self.kinds, self.classes, self.limits = zones, kinds, classes, limits
         self.tell_module, self.report = tell_module, report
         self.hosts: dict[str, tuple[Standing, HostActor]] = {}
+        self.replaced: list[i.WorkerEntry] = []  # hosts whose address has passed to another in this event
 
     def begin(self, known: Known) -> None:
         """The list as it was at the start, before the actor runs."""
@@ -112,6 +113,8 @@
                 self.strike(server.id)
             else:
                 ports[entry.worker] = self.host(server, entry.drain)
+        # guards against the module going on with a host whose end the bus tells only later
+        entries, self.replaced = self.replaced + entries, []
         self.tell_module(Listed(i.WorkersListed(scope, tuple(entries)), ports))
 
     def entry(self, server: Server) -> i.WorkerEntry | None:
@@ -134,6 +137,7 @@
                 # guards against sending to a host that has gone: its address speaks for another now
                 standing.replaced = True
                 self.strike(id, now=True)
+                self.replaced.append(i.WorkerEntry(worker_number(id), drain=i.Drain.GONE))
         if server.id in self.hosts:
             standing, actor = self.hosts[server.id]
             if standing.address == where and not actor.over:
