Leave a link that stays open and silent, and ask again after a lost ask

In the log there is no lost link for them: the connection stayed open and brought nothing more.

Checked and ruled out: hosts that had really gone (others were answered by them), jams, refused dials (none logged). Found on the way: an ask that ended as RESET was not asked again since the change of resets, the host stayed out.

Lines at fault: net/host.py link_for_one_more() always takes the first link with room; brain.py order_ended(). A link that owes an answer and brings nothing gets no new work and ends after three times that; an ask goes by a fresh one.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -294,9 +294,9 @@
         if not (w := self.workers.get(e.worker)):
             return
         w.asked = False
-        if e.outcome is Outcome.RESET:
+        if e.outcome is Outcome.RESET and not w.out:
             self.cut_off(w)
-        elif e.outcome in (Outcome.NO_CONNECTION, Outcome.TIMEOUT):
+        elif e.outcome in (Outcome.NO_CONNECTION, Outcome.TIMEOUT, Outcome.RESET):  # a lost ask: once more
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
         else:
             self.back(w)
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -22,6 +22,7 @@
     module_mailbox: int = 16384
     streams_per_link: int = 100
     links_per_host: int = 4
+    silent_ms: float = 700.0
     frame_ms: float = 400.0
     dial_ms: float = 250.0
     write_ms: float = 1000.0
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -45,6 +45,7 @@
     decoder: frames.Decoder
     open: dict[int, Task] = field(default_factory=dict)
     used: float = 0.0
+    asked: float | None = None  # since when something is owed an answer soon and nothing has come
     part_since: float | None = None  # a frame has begun and its rest has not come; its reader alone writes it
 
 
@@ -82,6 +83,11 @@
     now: bool = False
 
 
+def soon(task: Task) -> bool:
+    """A load may take its time; all else is answered within its usual time, or the host is silent."""
+    return not isinstance(task, Order) or task.copies == 0
+
+
 def number(text: str | None) -> int | None:
     return int(text) if text is not None and text.isdecimal() else None
 
@@ -106,6 +112,8 @@
                  log: Log, report: Callable[[TaskEnded], object]) -> None:  # fmt: skip
         super().__init__(f"host {name}", limits.host_mailbox, log, reserve=limits.host_mailbox // 4)
         self.standing, self.classes, self.limits, self.report = standing, classes, limits, report
+        aim = min((c.aim for c in classes), default=0.0)
+        self.silence = max(limits.silent_ms, 1.4 * aim)  # slow hosts still answer something in this time
         self.links: list[Link] = []
         self.places: dict[Task, tuple[Link, int]] = {}
         self.serial = 0
@@ -126,8 +134,8 @@
 
     def run(self) -> None:
         while not self.over:
-            partial = any(link.part_since is not None for link in self.links)
-            self.wait(self.limits.frame_ms / 2 if partial else self.limits.link_idle_ms / 4)
+            owed = any(link.part_since is not None or link.asked is not None for link in self.links)
+            self.wait(self.limits.frame_ms / 2 if owed else self.limits.link_idle_ms / 4)
             self.work()
             self.tidy()
             if self.retiring and not self.places and not self.box:
@@ -153,8 +161,11 @@
             case Drop(function):
                 self.unload(function)
             case Heard(link, heard):
+                link.asked = None
                 for frame in heard if link in self.links else []:
                     self.answer(link, frame)
+                if any(map(soon, link.open.values())):
+                    link.asked = now_ms()
             case Lost(link, reason):
                 if link in self.links:
                     self.close(link, reason)
@@ -170,7 +181,7 @@
         """Checks all over again just before the first byte: much can change while a dial takes its time."""
         if not task.wanted or not self.standing.takes(task) or task.stop_at <= now_ms():
             return self.end(task, i.Outcome.NOT_SENT)
-        link = self.link_for_one_more()
+        link = self.link_for_one_more(isinstance(task, Order) and task.copies == 0)
         if link is None:
             self.fail_queued()
             return self.end(task, i.Outcome.NO_CONNECTION)
@@ -181,6 +192,8 @@
         id, data = self.frame_for(task, link, now)
         task.begun = True
         link.open[id], self.places[task] = task, (link, id)
+        if link.asked is None and soon(task):
+            link.asked = now
         self.write(link, data, task)
 
     def frame_for(self, task: Task, link: Link, now: float) -> tuple[int, bytes]:
@@ -205,6 +218,8 @@
         if (place := self.places.pop(task, None)) is not None:
             link, id = place
             del link.open[id]
+            if not link.open and not self.silent(link):
+                link.asked = None  # what was given up early tells nothing of the host
             if isinstance(task, Attempt):
                 self.write(link, frames.encode(frames.GIVE_UP, id))
 
@@ -222,15 +237,25 @@
 
     # --- links ---
 
-    def link_for_one_more(self) -> Link | None:
-        """The first link with room; a further one only when all are full."""
-        for link in self.links:
-            if len(link.open) < self.limits.streams_per_link:
+    def link_for_one_more(self, ask: bool = False) -> Link | None:
+        """The newest link with room; a further one only when all are full, or silent. An ask whether
+        the host lives goes by none that owes an answer for longer than a dial would take."""
+        for link in reversed(self.links):
+            quiet = now_ms() - link.asked if ask and link.asked is not None else 0.0
+            free = len(link.open) < self.limits.streams_per_link
+            if free and quiet <= self.limits.dial_ms and not self.silent(link):
                 return link
+        if len(self.links) >= self.limits.links_per_host:
+            for link in list(filter(self.silent, self.links)):
+                self.close(link, "silent")
         if len(self.links) >= self.limits.links_per_host:
             return None
         return self.dial()
 
+    def silent(self, link: Link, times: int = 1) -> bool:
+        """Guards against a connection that stays open and brings nothing more, while a new one would."""
+        return link.asked is not None and now_ms() - link.asked > times * self.silence
+
     def connect(self) -> socket.socket:
         dialled = (self.standing.address, self.limits.dial_ms / 1000)
         try:
@@ -313,6 +338,8 @@
                 # guards against an answer that stops short: what comes behind it would be its rest
                 self.log("bad-frame", f"{self.name}: the rest of a frame has not come")
                 self.close(link, "a frame stopped short")
+        for link in [k for k in self.links if self.silent(k) and (not k.open or self.silent(k, 3))]:
+            self.close(link, "silent")
         late = now - 0.8 * self.limits.link_idle_ms
         for link in [k for k in self.links if not k.open and (k.used < late or self.retiring)]:
             self.close(link, "idle")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,6 +98,17 @@
         expect h1 request body=x
         send h1 ok body=z
         expect c1 1 result z""",
+    "a link that stays open and silent is left, and what is open there goes again": """
+        send c1 call 1 weight-read body=x budget=30000
+        expect h1 request body=x
+        expect h1 end
+        expect h1 request body=x
+        send h1 ok body=X
+        expect c1 1 result X
+        send c1 call 3 weight-read body=z
+        expect h1 request body=z
+        send h1 ok body=Z
+        expect c1 3 result Z""",
     "a request over at the host has never run and goes again": """
         send c1 call 1 harvest-log token=k
         expect h1 request
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -316,6 +316,8 @@
     rig.wait(300)
     rig.settle(20, O.RESET)
     assert worker.out
+    rig.give(i.OrderEnded(1, "f", O.RESET, 0, 5))  # the ask is lost too: it is asked again, not left out
+    assert [a for a in rig.wait(2000) if isinstance(a, i.OrderCopies) and a.copies == 0]
 
 
 def test_one_class_that_hangs_at_a_worker_moves_on_and_does_not_cut_its_limit() -> None:
