--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -316,6 +316,7 @@
     rig.wait(300)
     rig.settle(20, O.RESET)
     assert worker.out
+    rig.wait(10)
     rig.give(i.OrderEnded(1, "f", O.RESET, 0, 5))  # the ask is lost too: it is asked again, not left out
     assert [a for a in rig.wait(2000) if isinstance(a, i.OrderCopies) and a.copies == 0]
 
