--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -19,6 +19,7 @@
 ORDERS_FIRST, ORDERS_LEAST, ORDERS_MOST = 6.0, 2.0, 12.0  # own orders in progress
 HALF = 0.45  # of a request's time: a refusal that leaves now still comes within its first half
 IDLE_WINDOW = 3.0  # keep-alives without use until renewal stops
+FORGET = 8.0  # keep-alives without use until a function is forgotten
 
 
 class Router(Memory):
@@ -70,8 +71,23 @@
                 self.begin_cold(w, started)
                 w.slow, w.load, w.backoff = 1.0, first, 0.0
             w.entry, w.up = e, e.drain is Drain.UP
+        for w in self.workers.values():
+            if w.entry.drain is Drain.GONE and not w.leaving:
+                w.leaving = True
+                self.later(self.s.keep_alive, self.part_with, w)
         self.all.limit = self.all.limit or FIRST_LIMIT * len(self.workers) / self.s.front_ends
 
+    def part_with(self, w: Worker) -> None:
+        """Forgets a worker that has gone, once nothing of ours is out there. Guards the memory and all that
+        counts workers (budgets, limits, whether most are out) against hosts replaced under ever new ids."""
+        wid = w.entry.worker
+        w.leaving = w.entry.drain is Drain.GONE
+        if w.leaving and (w.flying or any(wid in f.pending for f in self.functions.values())):
+            self.later(self.s.keep_alive, self.part_with, w)
+        elif w.leaving:
+            self.outs -= w.out
+            self.strike(wid)
+
     def begin_cold(self, w: Worker, started: float) -> None:
         """It has started anew: its copies are gone; its budget begins spread over the front ends."""
         w.started, w.budget, w.doubts = max(w.started, started), Bucket(self.rng.random(), self.now), {}
@@ -121,7 +137,9 @@
         """Out until an ask is answered, each time for longer; a dead one will have started anew: cold."""
         first, self.outs = not w.backoff, self.outs + (not w.out)
         w.backoff = min(max(2 * w.backoff, self.s.connect_timeout), self.s.keep_alive)
-        w.out, w.asked, w.dead, w.load.limit = True, False, dead, max(1.0, LEAST_LIMIT / self.s.front_ends)
+        w.out, w.asked, w.dead, least = True, False, dead, max(1.0, LEAST_LIMIT / self.s.front_ends)
+        # a lost connection alone does not tell of too much to do: its worker keeps half of its places
+        w.load.limit = least if dead else max(least, w.load.limit / 2)
         if dead:
             self.begin_cold(w, self.now)
         # where there is no means to ask, the pause alone must do
@@ -129,7 +147,7 @@
         self.later(pause, self.ask if self.s.may_order else self.back, w)
 
     def ask(self, w: Worker) -> None:
-        if w.out and not w.asked:
+        if w.out and not w.asked and not w.leaving:
             w.asked, ask = w.up, i.OrderCopies(w.entry.worker, next(iter(self.functions)), 0)
             self.say(ask) if w.up else self.later(w.backoff, self.ask, w)
 
@@ -245,13 +263,16 @@
         return next((wid for wid in both[0] if self.warmth(self.workers[wid]) >= 0.5), next(both[1], None))
 
     def order_ended(self, e: i.OrderEnded) -> None:
-        if not (f := self.functions.get(e.function)) or not (w := self.workers.get(e.worker)):
+        if not (w := self.workers.get(e.worker)):
             return
-        sent, w.asked, self.touched[f.name] = f.pending.pop(e.worker, None), False, f
+        w.asked = False
         if e.outcome in (Outcome.NO_CONNECTION, Outcome.RESET, Outcome.TIMEOUT):
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
         else:
             self.back(w)
+        if not (f := self.functions.get(e.function)):
+            return
+        sent, self.touched[f.name] = f.pending.pop(e.worker, None), f
         if e.copies > 0:
             self.believe(f, e.worker, e.copies)
         if sent is None:
@@ -358,10 +379,12 @@
             return
         kind = self.s.classes[min(e.class_index, len(self.s.classes) - 1)]
         self.arrivals.append(self.now)
+        count_since(self.arrivals, self.now - self.s.ration_window - self.s.tick)  # older ones are forgotten
         gap, self.last_arrival = self.now - self.last_arrival, self.now
         self.stalled += gap if gap > self.s.keep_alive / 8 else 0.0
         self.calls = 1 + self.calls * exp2(-gap / self.s.keep_alive / 0.69)
         if (f := self.functions.get(e.function)) is None:
+            self.later(FORGET * self.s.keep_alive, self.fade, e.function)
             f = Function(e.function, digest(e.function), e.class_index, e.load_time or kind.aim, kind.aim / 4)
             self.functions[e.function] = f
         # a gap in which nothing at all arrived is left out: a stall must not read as no demand
@@ -371,6 +394,17 @@
             r.over = not bucket.take(self.now, bucket.rate / 1000, max(1.0, bucket.rate))
         self.hold(f, r)
 
+    def fade(self, name: str) -> None:
+        """Forgets a function long unused of which nothing is out. Guards against calls made only once."""
+        f, keep = self.functions[name], self.s.keep_alive
+        left = FORGET * keep - (self.now - self.stalled - f.used)
+        busy = f.waiting or f.copies or f.pending or any(f.mine.values())
+        if left <= 0 and not busy:
+            if len(self.functions) > 1:  # one must be there to ask workers about
+                del self.functions[name]
+        else:
+            self.later(max(left, keep), self.fade, name)
+
     def hold(self, f: Function, r: Request) -> None:
         f.waiting.append(r)
         self.touched[f.name] = f
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -139,8 +139,14 @@
         return self.table.withdraw(m.call)
 
     def listed(self, m: Listed, now: float) -> i.Event | None:
+        if m.event.scope is not i.ListScope.CHANGES:
+            self.ports, self.entries = {}, {}
         self.ports.update(m.ports)
         self.entries.update({e.worker: e for e in m.event.workers})
+        for gone in [e.worker for e in m.event.workers if e.drain is i.Drain.GONE]:
+            # guards the memory against hosts that are replaced under ever new ids
+            self.ports.pop(gone, None)
+            del self.entries[gone]
         return m.event
 
     def stopping(self, m: Stopping, now: float) -> i.Event | None:
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -4,12 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
 from typing import Any
 
-from .interface import Action, RequestArrived, RequestClass, SetTimer, WorkerEntry
+from .interface import Action, Drain, RequestArrived, RequestClass, SetTimer, WorkerEntry
 
 NEVER = -1e18
 
@@ -74,6 +74,7 @@
     dead: bool = False  # it refused a connection when last tried
     out: bool = False  # taken out until an ask is answered
     asked: bool = False
+    leaving: bool = False  # it has gone from the list and is about to be forgotten
     backoff: float = 0.0
     heard: float = NEVER
     full_until: dict[int | None, float] = field(default_factory=dict)  # it turned the tenant's away
@@ -147,13 +148,22 @@
         """A whole list came: whoever it does not name is gone."""
         listed = dict.fromkeys(named)
         for wid, w in self.workers.items():
-            w.up = w.up and wid in listed
+            if wid not in listed:
+                w.entry, w.up = replace(w.entry, drain=Drain.GONE), False
 
     def forget(self, wid: int) -> None:
         """Strikes a worker's copies."""
         for f in self.functions.values():
             f.copies.pop(wid, None)
 
+    def strike(self, wid: int) -> None:
+        """Forgets a worker altogether."""
+        del self.workers[wid]
+        for f in self.functions.values():
+            f.order = []
+            for kept in (f.copies, f.mine, f.avoid, f.missed):
+                kept.pop(wid, None)
+
     def book_order(self, f: Function, wid: int) -> None:
         """Notes a new order everywhere it counts."""
         f.pending[wid] = self.now
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -175,6 +175,14 @@
     assert b.step(Withdrawn(calls[0]), Taken(calls[2], b.peers)) == [] and b.actor.table.held == 6
 
 
+def test_hosts_that_have_gone_are_forgotten() -> None:
+    b = Bench()
+    for n in range(2, 9):
+        here, gone = i.WorkerEntry(n), i.WorkerEntry(n - 1, drain=i.Drain.GONE)
+        b.step(Listed(i.WorkersListed(i.ListScope.CHANGES, (here, gone)), {n: b.peers}))
+    assert list(b.actor.ports) == list(b.actor.entries) == [8]
+
+
 def test_two_open_requests_under_one_id_and_one_whose_time_is_over() -> None:
     b = Bench()
     b.take()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -252,6 +252,35 @@
     assert worker.load.limit > 1.0
 
 
+def test_workers_that_have_gone_and_functions_long_unused_are_forgotten() -> None:
+    """Seen on the churn day: budgets of cold workers shrank with every id that had ever been listed."""
+    rig = Rig(count=1)
+    for n in range(2, 30):
+        rig.ask(n, function=f"once-{n}")
+        rig.settle(n, O.RESET)
+        rig.give(i.WorkersListed(i.ListScope.CHANGES, workers(n)[-1:]))
+        gone = workers(n - 1, drain=i.Drain.GONE)[-1:]
+        rig.give(i.WorkersListed(i.ListScope.CHANGES, gone))
+        for k in range(18):  # others go on: a stall of everything would not read as disuse
+            rig.ask(1000 * n + k)
+            rig.wait(500)
+    router = rig.router
+    assert len(router.workers) <= 2 and len(router.functions) < 15 and router.outs <= 1
+    rig.give(i.WorkersListed(i.ListScope.WHOLE, workers(1)))
+    rig.wait(20000)
+    assert set(router.workers) == {1}
+
+
+def test_a_lost_connection_halves_the_places_at_its_worker_and_no_more() -> None:
+    """Seen on the churn day: each reset took a worker from 14 places to one, and the others jammed."""
+    rig = Rig(count=1)
+    covered(rig)
+    rig.router.workers[1].load.limit = 14.0
+    rig.ask(2)
+    rig.settle(2, O.RESET)
+    assert rig.router.workers[1].load.limit == 7.0
+
+
 def test_where_orders_are_not_allowed_none_is_given_and_a_worker_still_comes_back() -> None:
     """Seen in `lbsim check`: the ask that brings a worker back was sent where orders are forbidden."""
     rig = Rig(replace(SETTINGS, may_order=False), count=1)
