--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -91,6 +91,8 @@
     def begin_cold(self, w: Worker, started: float) -> None:
         """It has started anew: its copies are gone; its budget begins spread over the front ends."""
         w.started, w.budget, w.doubts = max(w.started, started), Bucket(self.rng.random(), self.now), {}
+        w.silent.clear()
+        w.served.clear()
         self.forget(w.entry.worker)
 
     def usable(self, w: Worker) -> bool:
@@ -161,12 +163,27 @@
         if self.heard < sent:  # all are quiet: that proves nothing
             return self.later(self.patience(w, f) / 2, self.overdue, key)
         self.doubt(w, f)
+        hung = self.hung(w, f, sent)
+        if w.served:
+            w.silent.add(f.class_index)
         if w.heard <= sent and not w.out:
             self.take_out(w, dead=False)
         r = self.requests.get(key[0])
-        if w.out and r and r.kind.effect is Effect.SAFE and r.attempts < self.s.max_attempts:
+        again = r and r.kind.effect is Effect.SAFE and r.attempts < self.s.max_attempts
+        if again and (w.out or hung):
             self.cancel(*key)
 
+    def hung(self, w: Worker, f: Function, sent: float) -> bool:
+        """The worker has served another class since, and none of this one: that is no lack of room. Guards
+        against a class hanging at some workers, which held its requests to the end and cut their limits."""
+        return w.served.get(f.class_index, NEVER) <= sent < max(w.served.values(), default=NEVER)
+
+    def on_trial(self, w: Worker, f: Function) -> bool:
+        """After silence one attempt of the class at a time, until an answer clears it."""
+        return f.class_index in w.silent and any(
+            sent >= w.started and self.attempts[key][1].class_index == f.class_index
+            for key, sent in w.flying.items())  # fmt: skip
+
     def doubt(self, w: Worker, f: Function) -> None:
         until, pause = w.doubts.get(f.class_index, (NEVER, self.s.keep_alive / 8))
         if until <= self.now:
@@ -333,7 +350,8 @@
             queue = max(0.0, mine + copy.others + 1 - lanes) / lanes
             busy = 1 + len(w.flying) + self.unseen * self.rng.random()
             cost = (self.doubted(w, f), busy * self.slowness(w) * (1 + queue))
-            if cost < least and mine < 3 * lanes and self.has_room(w, r) and self.may_go(r, w):
+            fits = mine < 3 * lanes and self.has_room(w, r) and self.may_go(r, w)
+            if cost < least and fits and not self.on_trial(w, f):
                 best, least = wid, cost
         return best if best is None or self.within_budget(self.workers[best]) else None
 
@@ -429,7 +447,7 @@
         w, f, sent = known
         self.touched |= self.held if len(self.attempts) + 1 >= self.all.limit else {f.name: f}
         r = self.requests.get(e.request)
-        self.learn(e, w, f, r)
+        self.learn(e, w, f, r, sent)
         if r and e.outcome not in NEVER_RAN:
             r.ran.append((w.entry, sent))
         if e.finished:
@@ -439,12 +457,14 @@
             again = again and any(self.may_go(r, v) for v in self.workers.values())
             self.hold(f, r) if again else self.end(r)
 
-    def learn(self, e: i.AttemptEnded, w: Worker, f: Function, r: Request | None) -> None:
+    def learn(self, e: i.AttemptEnded, w: Worker, f: Function, r: Request | None, sent: float) -> None:
         wid, aim = w.entry.worker, r.kind.aim if r else self.shortest_aim
         if e.outcome is Outcome.NO_CONNECTION or (e.outcome is Outcome.RESET and not w.out):
             self.take_out(w, dead=e.outcome is not Outcome.RESET)  # a reset is no proof of a restart
         elif e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             self.back(w)
+        if e.outcome in (Outcome.OK, Outcome.ERROR):
+            w.silent.discard(f.class_index)
         if e.outcome is Outcome.MISS or e.load_failed:
             old = f.copies.pop(wid, None)
             f.alone = f.alone or (old is not None and self.now - old.seen > self.s.keep_alive)
@@ -458,6 +478,7 @@
             sure, w.backoff = wid in f.copies and wid not in f.pending, 0.0
             copy = self.believe(f, wid)
             w.doubts.pop(f.class_index, None)
+            w.served[f.class_index] = self.now
             crowd = max(0.0, (e.crowd or 0) - f.mine.get(wid, 0))
             copy.others += 0.3 * (crowd - copy.others) if self.s.tells_crowd else 0.0
             if e.found in (Found.BEGAN_LOAD, Found.WAITED) or not (e.found or sure):
@@ -467,6 +488,7 @@
             f.usual += 0.05 * (e.took - f.usual)
         unanswered = e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and e.took > aim
         told = e.outcome is Outcome.OK or self.strain_at(w) > STRAINED / 2 or not self.doubted(w, f)
+        told = told and not (unanswered and self.hung(w, f, sent))
         if told and (e.outcome is Outcome.OK or unanswered):
             # what never came back tells of a crowd too, else many front ends keep each other's queues full
             took, least = min(3.0, e.took / aim), LEAST_LIMIT / self.s.front_ends
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -79,6 +79,8 @@
     heard: float = NEVER
     full_until: dict[int | None, float] = field(default_factory=dict)  # it turned the tenant's away
     doubts: dict[int, tuple[float, float]] = field(default_factory=dict)  # class -> until, and for how long
+    silent: set[int] = field(default_factory=set)  # classes overdue, until one is answered
+    served: dict[int, float] = field(default_factory=dict)  # class -> its last good answer
     flying: dict[tuple[int, int], float] = field(default_factory=dict)  # own attempts, oldest first
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -281,6 +281,36 @@
     assert rig.router.workers[1].load.limit == 7.0
 
 
+def test_one_class_that_hangs_at_a_worker_moves_on_and_does_not_cut_its_limit() -> None:
+    """Seen on the churn day: one class hung at three of six workers; its requests timed out there one batch
+    after the other, the limits fell to a few places, and the rest of the fleet jammed."""
+    rig = Rig(count=2)
+    home = covered(rig)
+    rig.ask(2, 1, "g")
+    rig.loaded(home, function="g")
+    worker = rig.router.workers[home]
+    before = worker.load.limit
+    for n in range(10, 14):
+        rig.ask(n, lanes=8)
+    hung = [n for n in range(10, 14) if rig.attempts[n][0][0] == home]
+    seen = len(rig.log)
+    for n in range(20, 50):
+        rig.ask(n, 1, "g", 8)
+        rig.wait(25)
+        for m in [m for m in range(2, 50) if m in rig.open_attempts() and m not in hung]:
+            rig.settle(m)
+    cancelled = {a.request for _, a in rig.log[seen:] if isinstance(a, i.CancelAttempt)}
+    assert len(hung) > 1 and cancelled >= set(hung) and worker.load.limit >= before
+    for n in hung:
+        rig.settle(n, O.CANCELLED, 700)
+    assert worker.load.limit >= before
+    for n in range(60, 64):
+        rig.wait(400)
+        rig.ask(n, lanes=8)
+    again = [n for n in rig.open_attempts() if n in (*hung, *range(60, 64))]
+    assert sum(rig.attempts[n][-1][0] == home for n in again) <= 1
+
+
 def test_where_orders_are_not_allowed_none_is_given_and_a_worker_still_comes_back() -> None:
     """Seen in `lbsim check`: the ask that brings a worker back was sent where orders are forbidden."""
     rig = Rig(replace(SETTINGS, may_order=False), count=1)
