Run plug-ins in processes of their own, behind a gate with budgets, breaker and swaps

A hook that looped held its request past its time and all behind it, and one that doubled a string took the process to 4.2 GB. Plug-ins now run in a worker process each (Starlark, WebAssembly) with limits of address space, time, fuel and host calls. The gate asks them within a budget, settles their advice into one preference for the module, and falls back to a stated default. Versions are swapped by trial and rolled back by themselves. The command line moves to typer; the platform's start loads none of it. The circle of config and operator_file is gone.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -40,7 +40,8 @@
             self.later(0.0, self.say, i.FollowList())
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.WorkersListed: self.listed, i.RequestArrived: self.arrive, i.RequestDropped: self.close,
-            i.AttemptEnded: self.attempt_ended, i.OrderEnded: self.order_ended}  # fmt: skip
+            i.AttemptEnded: self.attempt_ended, i.OrderEnded: self.order_ended,
+            i.WarmWished: lambda e: self.wishes.append(e.function)}  # fmt: skip
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         self.now, self.out, self.touched = now, [], {}
@@ -50,6 +51,7 @@
         for f in list(self.touched.values()):
             self.dispatch(f)
         self.cover()
+        self.warm()
         self.set_timer()
         return self.out
 
@@ -286,7 +288,9 @@
 
     def place(self, f: Function) -> int | None:
         """The first worker along the order that lacks the function and may be loaded; warm ones first."""
-        free = (wid for wid in self.order_for(f) if wid not in f.copies and wid not in f.pending)
+        bias: Any = next((r.event.bias for r in f.waiting if r.event.bias), {})  # advice goes before the hash
+        order = sorted(self.order_for(f), key=lambda wid: bias.get(wid, 1.0)) if bias else self.order_for(f)
+        free = (wid for wid in order if wid not in f.copies and wid not in f.pending)
         both = tee(wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f, 0.0))
         return next((wid for wid in both[0] if self.warmth(self.workers[wid]) >= 0.5), next(both[1], None))
 
@@ -324,6 +328,16 @@
             if (wid := self.place(f)) is not None and not self.order(f, wid, 1.0):
                 return
 
+    def warm(self) -> None:
+        """Advice to keep functions warm: renews what stands; loads come after own needs, from half the ration
+        and half the cap. Guards the load budget against plug-ins; what nobody has called is not loaded."""
+        for f in filter(None, map(self.functions.get, self.wishes)):
+            spare = self.ordering < self.order_cap / 2 and not self.loading(f)
+            f.used = self.now - self.stalled
+            if spare and not any(self.believed(f)) and (wid := self.place(f)) is not None:
+                self.order(f, wid, 0.5)
+        self.wishes.clear()
+
     def more_room(self, f: Function) -> None:
         """One added copy along the order once all believed ones are busy, full or strained, or too few."""
         if f.copies and not self.loading(f) and (len(f.copies) < int(f.width) or not any(
@@ -342,7 +356,7 @@
         return worth if self.s.worth_by_work else worth / f.usual
 
     def late(self, f: Function, r: Request) -> bool:
-        return self.now + f.usual / 2 > r.arrived + r.kind.aim
+        return self.now + f.usual / 2 > r.arrived + min(r.kind.aim, r.event.wanted or r.kind.aim)
 
     def may_go(self, r: Request, w: Worker) -> bool:
         """Rule two: what may have run goes out again only as its class allows."""
@@ -357,12 +371,12 @@
         """The copy with fewest attempts for its lanes and its worker's pace; a draw stands for the unseen."""
         if len(self.attempts) >= self.all.limit or (self.all.strain > 0.75 * STRAINED and self.late(f, r)):
             return None  # what comes too late anyway must not make others late
-        best, least = None, (True, float("inf"))
+        best, least, bias = None, (True, float("inf")), r.event.bias or {}
         for wid, w, copy in self.candidates(f, r):
             lanes, mine = f.lanes * copy.count, f.mine.get(wid, 0)
             queue = max(0.0, mine + copy.others + 1 - lanes) / lanes
             busy = 1 + len(w.flying) + self.unseen * self.rng.random()
-            cost = (self.doubted(w, f), busy * self.slowness(w) * (1 + queue))
+            cost = (self.doubted(w, f), busy * self.slowness(w) * (1 + queue) * bias.get(wid, 1.0))
             fits = mine < 3 * lanes and self.has_room(w, r) and self.may_go(r, w)
             if cost < least and fits and not self.on_trial(w, f):
                 best, least = wid, cost
--- a/harrieryoke/cli.py
+++ b/harrieryoke/cli.py
@@ -1,79 +1,102 @@
-"""The command line."""
+"""The command line, for all but the platform's lean start."""
 
 from __future__ import annotations
 
-import argparse
 import sys
+from typing import Annotated, Any
 
 import msgspec
-from gevent import monkey
+import typer
 
-from .config import ConfigError, read_config
+from .checks import ConfigError
 from .log import Log
-from .service import Service
-
-
-def serve(arguments: argparse.Namespace) -> int:
-    config = read_config(arguments.operator)
-    log = Log(config.name, config.limits.log_lines_per_s)
-    return Service(config, log, lambda: read_config(arguments.operator)).run()
-
-
-def check_config(arguments: argparse.Namespace) -> int:
-    config = read_config(arguments.operator)
-    Service(config, Log(config.name))
-    mqtt = None if config.operator is None else config.operator.mqtt
+from .plugins.commands import plugin
+from .plugins.settings import PluginError
+
+app = typer.Typer(add_completion=False, no_args_is_help=False, pretty_exceptions_enable=False,
+                  rich_markup_mode=None, help="An invoker before model hosts.")  # fmt: skip
+app.add_typer(plugin, name="plugin")
+OperatorOption = Annotated[
+    str | None, typer.Option("--operator", metavar="FILE", help="the operator's TOML file")
+]
+
+
+@app.command()
+def serve(operator: OperatorOption = None) -> None:
+    """Serve until SIGTERM (also without a command)."""
+    from .serve import patch
+    from .serve import serve as run
+
+    patch(operator)
+    raise typer.Exit(run(operator))
+
+
+@app.command("check-config")
+def check_config(operator: OperatorOption = None) -> None:
+    """Read and check the configuration, and load the plug-ins."""
+    from .serve import load_config, patch
+    from .service import Service
+
+    patch(operator)
+    config = load_config(operator)
+    service = Service(config, Log(config.name))
+    told: Any = config.operator
+    mqtt = None if told is None else told.mqtt
     triggers = "MQTT is off" if mqtt is None else f"{len(mqtt.trigger)} MQTT triggers"
+    plugins = 0 if service.gate is None else len(told.plugins.use)
     where = f"{config.listen[0]}:{config.listen[1]}"
-    print(f"{config.name}: {len(config.settings.classes)} classes, listens on {where}, {triggers}")
-    return 0
+    print(f"{config.name}: {len(config.settings.classes)} classes, listens on {where}, {triggers}, "
+          f"{plugins} plug-ins")  # fmt: skip
 
 
-def describe(arguments: argparse.Namespace) -> int:
-    """Prints what the triggers and the operators' HTTP speak, as AsyncAPI and OpenAPI."""
+@app.command()
+def describe(operator: OperatorOption = None) -> None:
+    """Print the AsyncAPI and OpenAPI documents of what is served."""
     from .descriptions import asyncapi, openapi
+    from .serve import load_config
 
-    operator = read_config(arguments.operator).operator
-    triggers = [] if operator is None or operator.mqtt is None else operator.mqtt.trigger
+    told: Any = load_config(operator).operator
+    triggers = [] if told is None or told.mqtt is None else told.mqtt.trigger
     both = {"asyncapi": asyncapi(triggers), "openapi": openapi()}
     print(msgspec.json.format(msgspec.json.encode(both)).decode())
-    return 0
 
 
-def show_version(arguments: argparse.Namespace) -> int:
-    from importlib.metadata import PackageNotFoundError, version
+@app.command()
+def lab(
+    name: Annotated[str, typer.Argument(help="the experiment: plugins")],
+    seed: Annotated[int, typer.Option()] = 1,
+    seconds: Annotated[float, typer.Option(help="for each case")] = 20.0,
+    rate: Annotated[float, typer.Option(help="calls a second")] = 250.0,
+    case: Annotated[list[str] | None, typer.Option(help="only this case; as often as wanted")] = None,
+    json: Annotated[str | None, typer.Option("--json", metavar="FILE", help="where the figures go")] = None,
+) -> None:
+    """Play an experiment against emulated hosts and write its figures."""
+    from .lab.experiments import run
+
+    raise typer.Exit(run(name, seed, seconds, json, rate, case))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    from importlib.metadata import PackageNotFoundError
+    from importlib.metadata import version as installed
 
     try:
-        print(f"harrieryoke {version('harrieryoke')}")
+        print(f"harrieryoke {installed('harrieryoke')}")
     except PackageNotFoundError:
         print("harrieryoke, from its source tree")
-    return 0
-
-
-COMMANDS = (
-    ("serve", serve, "serve until SIGTERM (also without a command)"),
-    ("check-config", check_config, "read and check the configuration"),
-    ("describe", describe, "print the AsyncAPI and OpenAPI documents of what is served"),
-    ("version", show_version, "print the version"),
-)
 
 
 def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="harrieryoke", description="An invoker before model hosts.")
-    parser.set_defaults(run=serve, operator=None)
-    commands = parser.add_subparsers()
-    for name, run, text in COMMANDS:
-        command = commands.add_parser(name, help=text)
-        command.set_defaults(run=run)
-        if run is not show_version:
-            command.add_argument("--operator", metavar="FILE", help="the operator's TOML file")
-    chosen = parser.parse_args(arguments)
-    if chosen.operator is not None:
-        # paho opens its sockets and selects through the standard library; patching it costs half of the
-        # start's time, so the platform's invoker, which has no paho, starts without
-        monkey.patch_all()
+    """The exit code: 0, or 2 for what can't be used."""
     try:
-        return int(chosen.run(chosen))
+        app(arguments)
+        return 0
+    except SystemExit as ended:  # the library's own way out, with its code
+        return int(ended.code or 0)
     except ConfigError as error:
         print(f"harrieryoke: configuration: {error}", file=sys.stderr)
-        return 2
+    except PluginError as error:
+        print(f"harrieryoke: plug-in: {error}", file=sys.stderr)
+    return 2
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -6,22 +6,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
 from . import interface as i
+from .checks import ConfigError, read_address
 from .limits import Limits
-from .net.hostlist import Known, address
+from .net.hostlist import Known
+from .parts import Operator
 from .settings import read_settings
 
-if TYPE_CHECKING:  # only an invoker with an operator's file loads what that file may turn on
-    from .operator_file import OperatorFile
-
-
-class ConfigError(ValueError):
-    """A key that can't be used; the message begins with its name."""
-
 
 class PlatformLimits(msgspec.Struct):
     cores: float = 1.0
@@ -54,14 +49,7 @@
     zones: list[str]
     kinds: list[str]
     limits: Limits
-    operator: OperatorFile | None
-
-
-def read_address(key: str, text: str) -> tuple[str, int]:
-    try:
-        return address(text)
-    except ValueError as error:
-        raise ConfigError(f"{key}: {error}") from None
+    operator: Operator | None
 
 
 def read_limits(told: PlatformLimits, wire: Mapping[str, Any], own: Mapping[str, float]) -> Limits:
@@ -87,8 +75,8 @@
     return replace(filled, **{k: type(getattr(usual, k))(v) for k, v in own.items()})
 
 
-def read_config(operator_path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
-    """RELAY_CONFIG, with RELAY_NAME and RELAY_LISTEN over it, and the operator's file, where there is one."""
+def read_config(operator: Operator | None = None, env: Mapping[str, str] = os.environ) -> Config:
+    """RELAY_CONFIG, with RELAY_NAME and RELAY_LISTEN over it; the operator's file is checked against it."""
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
@@ -106,11 +94,6 @@
         seed = int(told.seed or "0", 16)
     except ValueError:
         raise ConfigError(f"seed: not a hexadecimal number: {told.seed!r}") from None
-    operator = None
-    if operator_path is not None:
-        from .operator_file import read_operator
-
-        operator = read_operator(operator_path)
     limits = read_limits(told.limits, told.settings, {} if operator is None else operator.limits)
     if operator is not None:
         operator.check(settings, limits)
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -19,6 +19,7 @@
     Check,
     Counted,
     Front,
+    Gate,
     HostPort,
     Listed,
     Order,
@@ -26,6 +27,7 @@
     Taken,
     Task,
     TaskEnded,
+    Wished,
     Withdrawn,
 )
 from .table import RequestTable
@@ -38,6 +40,7 @@
                  clock: Callable[[], float] = now_ms) -> None:  # fmt: skip
         super().__init__("module", limits.module_mailbox, log)
         self.settings, self.seed, self.clock = settings, seed, clock
+        self.gate: Gate | None = None  # plug-ins, where the operator has some
         self.router = Router(settings, seed)
         self.table = RequestTable(settings, limits)
         self.ports: dict[int, HostPort] = {}
@@ -48,7 +51,8 @@
         self.orders_from = 0.0  # after a fault in the module: no load orders before this
         self.readers: dict[type, Callable[[Any, float], i.Event | None]] = {
             Taken: self.taken, Withdrawn: self.withdrawn, TaskEnded: self.task_ended,
-            Listed: self.listed, Stopping: self.stopping, Counted: self.counted}  # fmt: skip
+            Listed: self.listed, Stopping: self.stopping, Counted: self.counted,
+            Wished: self.wished}  # fmt: skip
         self.doers: dict[type, Callable[[Any, float], None]] = {
             i.StartAttempt: self.start_attempt, i.CancelAttempt: self.cancel_attempt, i.Refuse: self.refuse,
             i.Fail: self.fail, i.OrderCopies: self.order_copies, i.DropCopies: self.drop_copies,
@@ -58,17 +62,26 @@
 
     def offer(self, call: Call, front: Front) -> bool:
         """A front's request; waits for room, so that a full mailbox slows the fronts instead of losing."""
-        if (hooks := self.table.hooks) is not None and (after := hooks.request(call)) is not None:
-            front.refused(call, after)
-            return True
+        return self.enter(call, front) if self.gate is None else self.gate.offer(call, front)
+
+    def enter(self, call: Call, front: Front) -> bool:
+        """Past the gate, if there is one."""
         if not call.function:
+            self.table.tell_gate(call, "failed")
             front.failed(call, "no function was named for it")
             return True
         return self.push(Taken(call, front))
 
     def withdraw(self, call: Call) -> bool:
+        return self.leave(call) if self.gate is None else self.gate.withdraw(call)
+
+    def leave(self, call: Call) -> bool:
         return self.push(Withdrawn(call))
 
+    def set_gate(self, gate: Gate) -> None:
+        """Before anything starts."""
+        self.gate = self.table.gate = gate
+
     # --- the loop ---
 
     def run(self) -> None:
@@ -147,8 +160,13 @@
             # guards the memory against hosts that are replaced under ever new ids
             self.ports.pop(gone, None)
             del self.entries[gone]
+        if self.gate is not None:
+            self.gate.listed(m)
         return m.event
 
+    def wished(self, m: Wished, now: float) -> i.Event | None:
+        return i.WarmWished(m.function)
+
     def stopping(self, m: Stopping, now: float) -> i.Event | None:
         self.table.stop_by(m.by)
         return None
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -24,7 +24,11 @@
     lanes: int = 1
     load_time: float | None = None
     taken: float = 0.0
-    topic: str = ""  # set by a front of topics; only there may a hook name the function
+    topic: str = ""  # set by a front of topics; only there may a plug-in name the function
+    bias: Mapping[int, float] | None = None  # advice, as in RequestArrived
+    wanted: float | None = None
+    label: str | None = None  # for accounting
+    seen: bool = False  # a plug-in's gate wants to hear of its end
 
 
 class Front(Protocol):
@@ -37,12 +41,17 @@
     def failed(self, call: Call, reason: str) -> None: ...
 
 
-class Hooks(Protocol):
-    """The operators' plug-in. `request` gives the refusal's advice, or None to go on."""
+class Gate(Protocol):
+    """What stands between the fronts and the module. It passes each call on once, unless it has answered it
+    or its client has left; `ended` and `listed` never wait."""
 
-    def request(self, call: Call) -> float | None: ...
+    def offer(self, call: Call, front: Front) -> bool: ...
 
-    def outcome(self, call: Call, outcome: str) -> None: ...
+    def withdraw(self, call: Call) -> bool: ...
+
+    def ended(self, call: Call, how: str) -> None: ...
+
+    def listed(self, listed: Listed) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -119,6 +128,24 @@
 
     event: WorkersListed
     ports: Mapping[int, HostPort]
+    names: Mapping[int, HostName] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class HostName:
+    """A model host in the operators' words."""
+
+    name: str
+    zone: str
+    kind: str
+    state: str
+
+
+@dataclass(slots=True)
+class Wished:
+    """Advice: a function that will be wanted soon."""
+
+    function: str
 
 
 @dataclass(slots=True)
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -6,7 +6,7 @@
 
 from .. import interface as i
 from ..limits import Limits
-from .records import Attempt, Call, Front, Hooks, HostPort, Task, TaskEnded
+from .records import Attempt, Call, Front, Gate, HostPort, Task, TaskEnded
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
 
@@ -29,7 +29,7 @@
 
     def __init__(self, settings: i.Settings, limits: Limits) -> None:
         self.settings, self.limits = settings, limits
-        self.hooks: Hooks | None = None
+        self.gate: Gate | None = None
         self.entries: dict[int, Entry] = {}
         self.numbers: dict[Call, int] = {}
         self.rids: dict[str, int] = {}
@@ -43,6 +43,7 @@
         """Enters a call; None where it was answered on the spot."""
         if call.rid in self.rids:
             # guards against two open requests under one id: their answers could not be told apart
+            self.tell_gate(call, "failed")
             front.failed(call, "a request with this id is open")
             return None
         due = min(call.due, self.latest) - self.limits.answer_margin_ms
@@ -50,6 +51,7 @@
         if full or due <= now:
             # guards the memory, which is hard: what is open may not hold more than its share of it. Nothing
             # was sent: a full table or a time already over is a plain refusal
+            self.tell_gate(call, "refused")
             front.refused(call, self.settings.max_retry_after or None)
             return None
         self.serial += 1
@@ -58,7 +60,8 @@
         entry = self.entries[self.serial] = Entry(self.serial, call, front, due)
         self.numbers[call], self.rids[call.rid] = self.serial, self.serial
         return i.RequestArrived(entry.number, call.class_index, call.function, due, call.tenant, None,
-                                call.memory, call.lanes, call.load_time)  # fmt: skip
+                                call.memory, call.lanes, call.load_time, False, call.bias,
+                                call.wanted)  # fmt: skip
 
     def withdraw(self, call: Call) -> i.RequestDropped | None:
         """The client has left; nothing more is owed, and nothing may be written."""
@@ -71,10 +74,13 @@
     def close(self, entry: Entry, how: str) -> None:
         self.counts[how] += 1
         self.held -= len(entry.call.body)
-        if self.hooks is not None:
-            self.hooks.outcome(entry.call, how)
+        self.tell_gate(entry.call, how)
         del self.entries[entry.number], self.numbers[entry.call], self.rids[entry.call.rid]
 
+    def tell_gate(self, call: Call, how: str) -> None:
+        if self.gate is not None:
+            self.gate.ended(call, how)
+
     def serve(self, entry: Entry, body: bytes) -> None:
         self.close(entry, "served")
         entry.front.served(entry.call, body)
--- a/harrieryoke/descriptions.py
+++ b/harrieryoke/descriptions.py
@@ -100,8 +100,8 @@
 def openapi() -> dict[str, Any]:
     """The operators' HTTP, from the table that serves it."""
     paths = {}
-    for path, (summary, statuses, schema) in ROUTES.items():
+    for path, (method, summary, statuses, schema) in ROUTES.items():
         content = {"application/json": {"schema": schema}}
         answers = {str(s): {"description": summary, "content": content} for s in statuses}
-        paths[path] = {"get": {"summary": summary, "responses": answers}}
+        paths[path] = {method.lower(): {"summary": summary, "responses": answers}}
     return {"openapi": "3.1.0", "info": {"title": "harrieryoke operations", "version": "1"}, "paths": paths}
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -182,6 +183,8 @@
     lanes: int = 1
     load_time: float | None = None
     repeat: bool = False
+    bias: Mapping[int, float] | None = None  # advice: worker -> factor on its cost; above 1 avoids it
+    wanted: float | None = None  # advice: an aim shorter than the class's
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,6 +247,13 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class WarmWished:
+    """Advice: the function will be wanted soon. It is loaded only where own needs leave room for it."""
+
+    function: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSaid:
     """A message from another front end."""
@@ -254,7 +264,7 @@
 
 Event = (
     WorkersListed | RequestArrived | AnswerBegan | AttemptEnded | RequestDropped
-    | OrderEnded | ProbeEnded | TimerFired | PeerSaid
+    | OrderEnded | ProbeEnded | TimerFired | PeerSaid | WarmWished
 )  # fmt: skip
 
 
--- /dev/null
+++ b/harrieryoke/lab/clients.py
@@ -0,0 +1,155 @@
+"""Clients that send calls at a given rate and count, each for itself, what became of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+
+from ..core.actor import now_ms
+
+
+@dataclass(slots=True)
+class Sent:
+    """One call and all that came back for it."""
+
+    rid: str
+    tenant: str
+    kind: str
+    sent: float
+    budget: float
+    answers: int = 0
+    how: str = ""
+    answered: float = 0.0
+    backoff: float | None = None
+    lost: bool = False  # its connection ended
+
+
+class Connection:
+    """One client connection with up to 32 open calls."""
+
+    def __init__(self, where: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(where, 5)
+        self.sock.settimeout(None)
+        self.open: dict[int, Sent] = {}
+        self.known: dict[int, Sent] = {}
+        self.number, self.over = 0, False
+        self.reader = gevent.spawn(self.read)
+
+    def send(self, call: Sent, function: str, key: str | None, body: bytes) -> None:
+        self.number += 1
+        params: dict[str, Any] = {
+            "rid": call.rid,
+            "budget": call.budget,
+            "acct": call.tenant,
+            "obj": function,
+            "props": "memory_mb:400;lanes:4;load_ms:400",
+            "blob": body,
+        }
+        if key is not None:
+            params["token"] = key
+        self.open[self.number] = self.known[self.number] = call
+        line = {"jsonrpc": "2.0", "id": self.number, "method": call.kind, "params": params}
+        try:
+            self.sock.sendall(msgspec.json.encode(line) + b"\n")
+        except OSError:
+            self.end()
+
+    def read(self) -> None:
+        rest = b""
+        try:
+            while data := self.sock.recv(65536):
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    self.heard(msgspec.json.decode(line), now_ms())
+        except (OSError, msgspec.MsgspecError):
+            pass
+        self.end()
+
+    def heard(self, told: dict[str, Any], now: float) -> None:
+        call = self.known.get(told["id"])
+        if call is None:
+            return
+        self.open.pop(told["id"], None)
+        call.answers += 1
+        call.answered = now
+        error = told.get("error")
+        call.how = "served" if error is None else "refused" if error["code"] == -32050 else "failed"
+        if error is not None:
+            call.backoff = (error.get("data") or {}).get("backoff")
+
+    def end(self) -> None:
+        self.over = True
+        for call in self.open.values():
+            call.lost = True
+        self.open.clear()
+
+
+@dataclass(slots=True)
+class Tenant:
+    """One cooperative: its part of the calls, and how many functions it has."""
+
+    name: str
+    part: float
+    functions: int = 8
+
+
+class Load:
+    """Calls at random moments, `rate` a second, over tenants, classes and functions."""
+
+    def __init__(
+        self, where: tuple[str, int], rate: float, tenants: list[Tenant], rng: random.Random
+    ) -> None:
+        self.where, self.rate, self.tenants, self.rng = where, rate, tenants, rng
+        self.calls: list[Sent] = []
+        self.connections: list[Connection] = []
+
+    def run(self, seconds: float) -> None:
+        until, next_at = now_ms() + seconds * 1000, now_ms()
+        while now_ms() < until:
+            next_at += self.rng.expovariate(self.rate) * 1000
+            gevent.sleep(max(0.0, next_at - now_ms()) / 1000)
+            self.one()
+        self.settle()
+
+    def settle(self) -> None:
+        """Until all is answered, or every client has given up and a little more."""
+        until = now_ms() + 4500
+        while now_ms() < until and any(c.open for c in self.connections):
+            gevent.sleep(0.02)
+        for connection in self.connections:
+            connection.reader.kill()
+            connection.sock.close()
+
+    def one(self) -> None:
+        tenant = self.rng.choices(self.tenants, [t.part for t in self.tenants])[0]
+        rank = min(int(self.rng.paretovariate(1.0)), tenant.functions) - 1
+        keyed = self.rng.random() < 0.21
+        kind, longest = ("harvest-log", 3000.0) if keyed else ("weight-read", 4000.0)
+        call = Sent(
+            f"{self.rng.getrandbits(64):016x}",
+            tenant.name,
+            kind,
+            now_ms(),
+            longest * self.rng.uniform(0.5, 1.0),
+        )
+        key = f"k{self.rng.getrandbits(48):x}" if keyed else None
+        self.calls.append(call)
+        self.connection().send(call, function_of(tenant.name, kind, rank), key, b"kg 41")
+
+    def connection(self) -> Connection:
+        self.connections = [c for c in self.connections if not c.over]
+        free = [c for c in self.connections if len(c.open) < 24]
+        if not free:
+            free = [Connection(self.where)]
+            self.connections += free
+        return min(free, key=lambda c: len(c.open))
+
+
+def function_of(tenant: str, kind: str, rank: int) -> str:
+    """A model's id: the same in every run."""
+    return f"{sum(ord(c) << (3 * n) for n, c in enumerate(tenant)) & 0xFFFFFFFF:08x}{len(kind):04x}{rank:04x}"
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -13,7 +13,7 @@
 
 from .. import interface as i
 from ..core.actor import Actor, spawn
-from ..core.records import Listed, TaskEnded
+from ..core.records import HostName, Listed, TaskEnded
 from ..limits import Limits
 from ..log import Log
 from .host import HostActor, Retire, Standing
@@ -97,7 +97,7 @@
             self.apply(topology.servers, scope)
 
     def apply(self, servers: list[Server], scope: i.ListScope) -> None:
-        entries, ports = [], {}
+        entries, ports, names = [], {}, {}
         how = "changed" if scope is i.ListScope.CHANGES else "in all"
         self.log("list", f"{len(servers)} model hosts {how}")
         if scope is i.ListScope.WHOLE:
@@ -109,13 +109,14 @@
             if entry is None:
                 continue
             entries.append(entry)
+            names[entry.worker] = HostName(server.id, server.zone, server.kind, server.state)
             if entry.drain is i.Drain.GONE:
                 self.strike(server.id)
             else:
                 ports[entry.worker] = self.host(server, entry.drain)
         # guards against the module going on with a host whose end the bus tells only later
         entries, self.replaced = self.replaced + entries, []
-        self.tell_module(Listed(i.WorkersListed(scope, tuple(entries)), ports))
+        self.tell_module(Listed(i.WorkersListed(scope, tuple(entries)), ports, names))
 
     def entry(self, server: Server) -> i.WorkerEntry | None:
         """One host as the module sees it; one that can't be read is left out, and the log says so."""
--- a/harrieryoke/operator_file.py
+++ b/harrieryoke/operator_file.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from . import interface as i
-from .config import ConfigError, read_address
-from .core.actor import now_ms
+from .checks import ConfigError, read_address
 from .core.calls import CallMaker
 from .core.module import ModuleActor
 from .descriptions import DescriptionError, read_asyncapi
@@ -21,23 +19,16 @@
 from .mqtt.front import BrokerActor, MqttSettings
 from .mqtt.triggers import TriggerReader
 from .ops import OpsServer, OpsSettings
-from .plugins import Hooks, PluginError, PluginSettings
-
-
-@dataclass(slots=True)
-class Parts:
-    """The running parts that a file may turn on."""
-
-    broker: BrokerActor | None = None
-    hooks: Hooks | None = None
-    ops: OpsServer | None = None
+from .parts import Parts
+from .plugins.gate import PluginGate
+from .plugins.settings import PluginError, PluginsSettings
 
 
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
     """What an operator may add; without it only the platform's front is there."""
 
     mqtt: MqttSettings | None = None
-    plugin: PluginSettings | None = None
+    plugins: PluginsSettings | None = None
     ops: OpsSettings | None = None
     asyncapi: str | None = None  # a document that adds triggers
     limits: dict[str, float] = {}
@@ -46,17 +37,23 @@
         """What can only be checked against the platform's configuration."""
         if self.mqtt is not None:
             check_mqtt(self.mqtt, settings, limits)
+        if self.plugins is not None:
+            try:
+                self.plugins.check([t.name for t in settings.tenants], [c.name for c in settings.classes])
+            except PluginError as error:
+                raise ConfigError(str(error)) from None
 
     def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
-              answer: Callable[[str], tuple[int, Any]]) -> Parts:  # fmt: skip
-        """What the file turns on, made ready."""
+              answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]]) -> Parts:  # fmt: skip
+        """What the file turns on, made ready. Plug-ins are loaded."""
         made = Parts()
         if self.mqtt is not None:
             where = read_address("mqtt.broker", self.mqtt.broker)
             made.broker = BrokerActor(self.mqtt, where, maker, core, limits, log)
-        if self.plugin is not None:
+        if self.plugins is not None and self.plugins.use:
             try:
-                made.hooks = Hooks(self.plugin, settings, limits, log, now_ms)
+                made.gate = gate = PluginGate(self.plugins, settings, core, limits, log)
+                gate.load_all()
             except PluginError as error:
                 raise ConfigError(str(error)) from None
         if self.ops is not None:
@@ -69,8 +66,8 @@
     try:
         told = msgspec.convert(tomllib.loads(Path(path).read_text()), OperatorFile, strict=False)
         folder = Path(path).parent
-        if told.plugin is not None:
-            told.plugin.file = str(folder / told.plugin.file)
+        for use in [] if told.plugins is None else told.plugins.use:
+            use.path = str(folder / use.path)
         if told.asyncapi is not None:
             if told.mqtt is None:
                 raise ConfigError("asyncapi: triggers need an [mqtt] table")
--- a/harrieryoke/ops.py
+++ b/harrieryoke/ops.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
+from urllib.parse import parse_qsl
 
 import gevent
 import httptools
@@ -26,12 +27,18 @@
           "properties": {"healthy": {"type": "boolean"}}}  # fmt: skip
 COUNTS = {"type": "object", "required": ["requests", "log"],
           "properties": {"requests": COUNTERS, "triggers": COUNTERS, "log": COUNTERS}}  # fmt: skip
-# path -> what it is for, the statuses it answers with, and the schema of the body
-ROUTES: dict[str, tuple[str, tuple[int, ...], dict[str, Any]]] = {
-    "/healthz": ("whether the invoker takes requests", (200, 503), HEALTH),
-    "/counters": ("requests, triggers and log lines so far, by kind", (200,), COUNTS),
+PLUGINS = {"type": "object", "required": ["plugins", "by_default"], "properties": {
+    "plugins": {"type": "array", "items": {"type": "object", "required": ["name", "serving", "versions"]}},
+    "by_default": COUNTERS, "advice_dropped": COUNTERS}}  # fmt: skip
+BEGUN = {"type": "object", "additionalProperties": {"type": "string"}}
+# path -> its method, what it is for, the statuses it answers with, and the schema of the body
+ROUTES: dict[str, tuple[str, str, tuple[int, ...], dict[str, Any]]] = {
+    "/healthz": ("GET", "whether the invoker takes requests", (200, 503), HEALTH),
+    "/counters": ("GET", "requests, triggers and log lines so far, by kind", (200,), COUNTS),
+    "/plugins": ("GET", "plug-ins, their versions and figures", (200, 404), PLUGINS),
+    "/plugins/swap": ("POST", "read plug-ins anew: the one of ?name=, or all", (202, 404), BEGUN),
 }
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            503: "Service Unavailable"}  # fmt: skip
 
 
@@ -49,11 +56,14 @@
         self.done = True
 
 
+Answering = Callable[[str, str, Mapping[str, str]], tuple[int, Any]]  # method, path, query -> status, body
+
+
 class OpsServer:
     """One connection, one answer: each is a greenlet that asks and shares nothing."""
 
-    def __init__(self, where: tuple[str, int], answer: Callable[[str], tuple[int, Any]], limits: Limits,
-                 log: Log) -> None:  # fmt: skip
+    def __init__(self, where: tuple[str, int], answer: Answering,
+                 limits: Limits, log: Log) -> None:  # fmt: skip
         self.where, self.respond, self.limits, self.log = where, answer, limits, log
 
     def start(self) -> None:
@@ -95,9 +105,10 @@
                 request.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return 400, {"error": "not HTTP"}
-        path = request.path.partition("?")[0]
+        path, _, query = request.path.partition("?")
         if path not in ROUTES:
             return 404, {"error": "no such path"}
-        if request.parser.get_method() != b"GET":
-            return 405, {"error": "GET is wanted"}
-        return self.respond(path)
+        method = ROUTES[path][0]
+        if request.parser.get_method() != method.encode():
+            return 405, {"error": f"{method} is wanted"}
+        return self.respond(method, path, dict(parse_qsl(query)))
--- /dev/null
+++ b/harrieryoke/plugins/decide/binding.py
@@ -0,0 +1,24 @@
+"""Which calls a plug-in sees."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+PLATFORM, MQTT = "platform", "mqtt"
+FRONTS = (PLATFORM, MQTT)
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """Empty sets bind to all. A cooperative's plug-in is bound to its tenant and sees no other's calls."""
+
+    tenants: frozenset[str] = frozenset()
+    classes: frozenset[str] = frozenset()
+    fronts: frozenset[str] = frozenset()
+
+    def sees(self, tenant: str | None, class_name: str, front: str) -> bool:
+        return (
+            (not self.tenants or tenant in self.tenants)
+            and (not self.classes or class_name in self.classes)
+            and (not self.fronts or front in self.fronts)
+        )
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -4,20 +4,22 @@
 
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import gevent
 from gevent.event import AsyncResult, Event
 
-from .config import Config, ConfigError
-from .core.actor import Actor, now_ms, spawn
+from .checks import ConfigError
+from .config import Config
+from .core.actor import now_ms, spawn
 from .core.calls import CallMaker
 from .core.module import ModuleActor
 from .core.records import Counted, Stopping
 from .log import Log
 from .net.hostlist import BusFollower, HostListActor
 from .net.platform import PlatformFront, StopListening
+from .parts import Parts
 
 # what of the configuration is in force from the start to the end of a process: key -> fields of Config
 RESTART = {"name": ["name"], "listen": ["listen"], "seed": ["seed"], "limits": ["limits"],
@@ -36,14 +38,17 @@
         self.bus = BusFollower(config.bus, config.known.offset, self.limits, log, self.hosts.push)
         maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, maker, self.core, self.limits, log)
-        self.parts = None if config.operator is None else config.operator.parts(
+        self.parts = Parts() if config.operator is None else config.operator.parts(
             settings, self.core, maker, self.limits, log, self.answer)  # fmt: skip
-        self.broker = None if self.parts is None else self.parts.broker
-        self.core.table.hooks = None if self.parts is None else self.parts.hooks
+        self.broker, self.gate = self.parts.broker, self.parts.gate
+        if self.gate is not None:
+            self.core.set_gate(self.gate)
         self.stop, self.broken = Event(), False
 
     def start(self) -> None:
         self.hosts.begin(self.config.known)
+        if self.gate is not None:
+            self.gate.start()
         self.hosts.start()
         self.core.start()
         self.bus.start()
@@ -51,7 +56,7 @@
             self.front.start()
         except OSError as error:
             raise ConfigError(f"RELAY_LISTEN: {error}") from None
-        for part in () if self.parts is None else (self.parts.hooks, self.parts.broker, self.parts.ops):
+        for part in (self.broker, self.parts.ops):
             if part is not None:
                 part.start()
         self.log("started", f"listening on {self.config.listen[0]}:{self.config.listen[1]}")
@@ -81,6 +86,8 @@
         stays = [key for key, fields in RESTART.items()
                  if any(getattr(new, f) != getattr(self.config, f) for f in fields)]  # fmt: skip
         self.bus.move(new.bus)
+        if self.gate is not None:
+            self.gate.ask_swap(None, self.limits.write_ms)
         self.log("reloaded", f"a restart is needed for: {', '.join(stays)}" if stays else "")
 
     def part_ended(self, greenlet: gevent.Greenlet) -> None:
@@ -97,6 +104,8 @@
         by = began + min(self.limits.stop_within_ms, longest + 500.0)
         self.log("stopping", f"all is answered within {by - began:.0f} ms")
         self.core.push(Stopping(by))
+        if self.gate is not None:
+            self.gate.push_stop(by)
         if self.broker is not None:
             self.broker.push_stop()
         gevent.sleep(self.limits.stop_accepting_ms / 1000)
@@ -109,7 +118,7 @@
 
     # --- the operators' HTTP ---
 
-    def counts(self, actor: Actor) -> dict[str, int]:
+    def counts(self, actor: Any) -> dict[str, int]:
         """An actor's counters, from itself."""
         told: AsyncResult = AsyncResult()
         actor.push(Counted(told.set))
@@ -119,9 +128,16 @@
             return {}
         return counts
 
-    def answer(self, path: str) -> tuple[int, Any]:
+    def answer(self, method: str, path: str, query: Mapping[str, str]) -> tuple[int, Any]:
         if path == "/healthz":
             healthy = not self.stop.is_set() and not self.core.over
             return 200 if healthy else 503, {"healthy": healthy}
+        if path.startswith("/plugins"):
+            if self.gate is None:
+                return 404, {"error": "there are no plug-ins"}
+            if method == "GET":
+                return 200, self.gate.ask_status(self.limits.write_ms)
+            begun = self.gate.ask_swap(query.get("name"), self.limits.write_ms)
+            return (202, begun) if begun else (404, {"error": "there is no such plug-in"})
         counts = {"requests": self.counts(self.core), "log": dict(self.log.totals)}
         return 200, counts | ({} if self.broker is None else {"triggers": self.counts(self.broker)})
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -142,6 +142,7 @@
         self.ordered: deque[float] = deque()
         self.arrivals: deque[float] = deque()
         self.allowances: dict[int | None, Bucket] = {}
+        self.wishes: list[str] = []  # functions that advice wants warm, of this round
 
     def say(self, action: Action) -> None:
         """One more action in the answer."""
