--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -219,6 +219,10 @@
             f.order = sorted(mixed, key=mixed.__getitem__)
         return f.order
 
+    def advised(self, f: Function, bias: Any) -> list[int]:
+        """The hash order, with what advice prefers first and what it avoids last."""
+        return sorted(self.order_for(f), key=lambda wid: bias.get(wid, 1.0)) if bias else self.order_for(f)
+
     def believed(self, f: Function) -> Iterator[tuple[int, Worker, Copy]]:
         for wid in sorted(f.copies, key=self.order_for(f).index) if len(f.copies) > 1 else list(f.copies):
             if self.usable(self.workers[wid]):
@@ -288,8 +292,7 @@
 
     def place(self, f: Function) -> int | None:
         """The first worker along the order that lacks the function and may be loaded; warm ones first."""
-        bias: Any = next((r.event.bias for r in f.waiting if r.event.bias), {})  # advice goes before the hash
-        order = sorted(self.order_for(f), key=lambda wid: bias.get(wid, 1.0)) if bias else self.order_for(f)
+        order = self.advised(f, next((r.event.bias for r in f.waiting if r.event.bias), None))
         free = (wid for wid in order if wid not in f.copies and wid not in f.pending)
         both = tee(wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f, 0.0))
         return next((wid for wid in both[0] if self.warmth(self.workers[wid]) >= 0.5), next(both[1], None))
@@ -387,7 +390,7 @@
         yield from self.believed(f)
         if r.attempts >= max(1, self.s.max_attempts - 1) or (f.copies and not self.unseen):
             return
-        places = (wid for wid in self.order_for(f) if self.open(wid, f))
+        places = (wid for wid in self.advised(f, r.event.bias) if self.open(wid, f))
         for wid in islice(places, int(f.width)):
             if wid not in f.copies and wid not in f.pending and f.missed.get(wid, NEVER) <= self.now:
                 yield wid, self.workers[wid], Copy(1, self.now)
--- a/harrieryoke/plugins/commands.py
+++ b/harrieryoke/plugins/commands.py
@@ -192,7 +192,7 @@
     name: Annotated[str | None, typer.Argument(help="one plug-in; all without")] = None,
     wait: Annotated[float, typer.Option(help="seconds to wait for the outcome")] = 10.0,
 ) -> None:
-    """Have a running invoker read a plug-in anew, and say what became of it; exit code 1 if it does not serve."""
+    """Have a running invoker read a plug-in anew; say what became of it, with 1 if it does not serve."""
     before = {p["name"]: (p["serving"], p["last_swap"]) for p in ask(ops, "GET", "/plugins")["plugins"]}
     ask(ops, "POST", "/plugins/swap" + (f"?name={name}" if name else ""))
     until, left, good = time.monotonic() + wait, [n for n in before if name in (None, n)], True
--- a/harrieryoke/plugins/process.py
+++ b/harrieryoke/plugins/process.py
@@ -50,10 +50,7 @@
             data = msgspec.msgpack.encode(message)
             self.sock.settimeout(max(0.001, (by - now_ms()) / 1000))
             self.sock.sendall(HEAD.pack(len(data)) + data)
-            (size,) = HEAD.unpack(self.exactly(HEAD.size, by))
-            if size > MOST_IN:
-                raise Fault("protocol", f"an answer of {size} bytes")
-            answer: dict[str, Any] = msgspec.msgpack.decode(self.exactly(size, by), type=dict[str, Any])
+            answer: dict[str, Any] = msgspec.msgpack.decode(self.frame(by), type=dict[str, Any])
         except TimeoutError:
             self.kill()
             raise Fault("timeout", "no answer in time") from None
@@ -66,22 +63,28 @@
         self.peak_kb = max(self.peak_kb, int(answer.get("rss_kb") or 0))
         return answer
 
-    def exactly(self, size: int, by: float) -> bytes:
-        parts = bytearray()
-        while len(parts) < size:
+    def frame(self, by: float) -> bytes:
+        """One whole answer. It mostly comes with one read: there is only ever one on its way."""
+        got = bytearray()
+        while True:
+            if len(got) >= HEAD.size:
+                (size,) = HEAD.unpack_from(got)
+                if size > MOST_IN or len(got) > HEAD.size + size:
+                    raise Fault("protocol", f"an answer of {size} bytes")
+                if len(got) == HEAD.size + size:
+                    return bytes(got[HEAD.size :])
             left = by - now_ms()
             if left <= 0:
                 raise TimeoutError
             self.sock.settimeout(min(left, SAMPLE_MS) / 1000)
             try:
-                data = self.sock.recv(size - len(parts))
+                data = self.sock.recv(65536)
             except TimeoutError:
                 self.sample()
                 continue
             if not data:
                 raise OSError("the pipe was closed")
-            parts += data
-        return bytes(parts)
+            got += data
 
     def sample(self) -> None:
         """Its peak so far, as the kernel tells: one that is killed can't say it any more."""
--- a/harrieryoke/plugins/starlark_engine.py
+++ b/harrieryoke/plugins/starlark_engine.py
@@ -8,7 +8,7 @@
 
 from .decide import abi
 from .decide.abi import Fault
-from .worker import Room
+from .room import Room
 
 ARGUMENTS = {"on_request": ("request",), "on_outcome": ("request", "outcome"), "on_hosts": ("hosts",),
              "on_timer": (), "carry": ("layout",)}  # fmt: skip
--- a/harrieryoke/plugins/wasm_engine.py
+++ b/harrieryoke/plugins/wasm_engine.py
@@ -14,7 +14,7 @@
 
 from .decide import abi
 from .decide.abi import Fault
-from .worker import Room
+from .room import Room
 
 NUMBERS = ("left_ms", "wanted_ms", "memory_mb", "lanes", "body_bytes", "keyed")
 TEXTS = ("id", "class", "function", "tenant", "front", "topic", "body", "outcome", "*")
--- a/harrieryoke/plugins/worker.py
+++ b/harrieryoke/plugins/worker.py
@@ -21,10 +21,10 @@
 
 from .decide.abi import Fault
 from .decide.state import State
+from .room import MOST_LINE, Room
 
 HEAD = struct.Struct(">I")
 MOST_IN, MOST_OUT = 4 << 20, 64 << 10
-MOST_LINE = 300
 PR_SET_PDEATHSIG = 1
 
 
@@ -36,46 +36,6 @@
     def call(self, hook: str, view: dict[str, Any]) -> Any: ...
 
 
-class Room:
-    """What a hook may reach while it runs: its state, the log, and how often."""
-
-    def __init__(self, most_state: int, most_calls: int, stateful: bool) -> None:
-        self.state, self.most_calls, self.stateful = State(most_state), most_calls, stateful
-        self.begin()
-
-    def begin(self) -> None:
-        self.calls, self.lines, self.changes = 0, list[str](), dict[str, str | None]()
-
-    def count(self) -> None:
-        self.calls += 1
-        if self.calls > self.most_calls:
-            raise Fault("host-calls", f"more than {self.most_calls} calls of the invoker's functions")
-
-    def log(self, text: Any) -> None:
-        self.count()
-        if len(self.lines) < 32:
-            self.lines.append(str(text)[:MOST_LINE])
-
-    def get(self, key: str) -> str | None:
-        self.may_state()
-        return self.changes[key] if key in self.changes else self.state.values.get(key)
-
-    def put(self, key: str, value: str | None) -> None:
-        """Checked at once, kept only if the hook ends well."""
-        self.may_state()
-        trial = State(self.state.most, self.state.values)
-        trial.change(self.changes | {key: value})
-        self.changes[key] = value
-
-    def may_state(self) -> None:
-        self.count()
-        if not self.stateful:
-            raise Fault("not-allowed", "state: the capability 'state' is not granted")
-
-    def keep(self) -> None:
-        self.state.change(self.changes)
-
-
 def limit_memory(more_mb: float) -> None:
     """The address space may grow by so much from here. Guards the machine against a plug-in's appetite."""
     with open("/proc/self/statm") as statm:
@@ -161,6 +121,24 @@
         self.sock.sendall(HEAD.pack(len(data)) + data)
 
 
+class Peak:
+    """The most memory that this process has held, in KiB. Kept open, since nothing can be opened later; read
+    now and then, since a read takes longer than a small hook."""
+
+    def __init__(self) -> None:
+        self.status = open("/proc/self/status")  # noqa: SIM115
+        self.kb = self.turn = 0
+
+    def look(self) -> int:
+        self.status.seek(0)
+        self.kb = next((int(line.split()[1]) for line in self.status if line.startswith("VmHWM")), 0)
+        return self.kb
+
+    def now(self) -> int:
+        self.turn += 1
+        return self.look() if self.turn % 16 == 1 else self.kb
+
+
 def described(error: BaseException) -> list[str]:
     if isinstance(error, Fault):
         return [error.kind, str(error)[:MOST_LINE]]
@@ -177,18 +155,13 @@
     pipe = Pipe(socket.socket(fileno=int(sys.argv[1])))
     told = pipe.read()
     alarm(2 * told["load_ms"] + 1000)
-    status = open("/proc/self/status")  # noqa: SIM115 - kept open: nothing can be opened later
-
-    def peak() -> int:
-        status.seek(0)
-        return next((int(line.split()[1]) for line in status if line.startswith("VmHWM")), 0)
-
+    peak = Peak()
     try:
         engine, room = load(told)
         no_more_files()
-        pipe.write({"hooks": engine.hooks(), "rss_kb": peak()})
+        pipe.write({"hooks": engine.hooks(), "rss_kb": peak.look()})
     except Exception as error:
-        return pipe.write({"fault": described(error), "rss_kb": peak()})
+        return pipe.write({"fault": described(error), "rss_kb": peak.look()})
     while True:
         alarm(0)
         told = pipe.read()
@@ -199,7 +172,7 @@
         except Exception as error:
             said = {"fault": described(error)}
         took = time.perf_counter() - began
-        pipe.write(said | {"log": room.lines, "took_ms": took * 1000, "rss_kb": peak()})
+        pipe.write(said | {"log": room.lines, "took_ms": took * 1000, "rss_kb": peak.now()})
 
 
 if __name__ == "__main__":
