Expire requests and tasks by a timing wheel instead of scanning all of them each round

A hierarchical timing wheel (O(1) to schedule, cancel, expire) holds both, timers are a heap, attempts that are out are found by key.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -4,6 +4,7 @@
 
 import traceback
 from collections.abc import Callable
+from heapq import heappop, heappush
 from typing import Any
 
 import gevent
@@ -45,7 +46,7 @@
         self.table = RequestTable(settings, limits)
         self.ports: dict[int, HostPort] = {}
         self.entries: dict[int, i.WorkerEntry] = {}
-        self.timers: list[tuple[float, str]] = []
+        self.timers: list[tuple[float, str]] = []  # a heap
         self.slack = limits.timer_slack_ms
         self.echoes: list[i.Event] = []  # what the table itself ended: heard in the next round
         self.orders_from = 0.0  # after a fault in the module: no load orders before this
@@ -100,7 +101,7 @@
         """At most a second ahead, so that a step of the system's clock cannot put it to sleep for long."""
         # guards against waking for each timer alone: most find their request answered, and a round just for
         # them keeps the next message waiting for its tick; in the slack a message's round takes them along
-        timer = min((at for at, _ in self.timers), default=float("inf")) + self.slack
+        timer = (self.timers[0][0] if self.timers else float("inf")) + self.slack
         first = timer if not self.echoes else 0.0
         return min(first, self.table.next_time(), self.clock() + 1000.0)
 
@@ -109,10 +110,10 @@
         events, self.echoes = self.echoes, []
         events += [e for m in messages if (e := self.readers[type(m)](m, now)) is not None]
         events += [e for t in self.table.expired(now) if (e := self.event_of(t, now)) is not None]
-        events += [i.TimerFired(name) for at, name in self.timers if at <= now]
-        self.timers = [t for t in self.timers if t[0] > now]
+        while self.timers and self.timers[0][0] <= now:
+            events.append(i.TimerFired(heappop(self.timers)[1]))
         self.decide(now, events)
-        for entry in self.table.overdue(now):
+        for entry in self.table.overdue():
             # guards against a module that leaves a request unanswered at its time: the table answers
             self.table.counts["guarded"] += 1
             self.log("guarded", f"{entry.call.rid} had no answer from the module at its time")
@@ -209,9 +210,8 @@
             self.begin(self.table.attempt(entry, a.worker, a.stop_at or entry.due, now), now)
 
     def cancel_attempt(self, a: i.CancelAttempt, now: float) -> None:
-        for task in self.table.tasks:
-            if isinstance(task, Attempt) and (task.request, task.number) == (a.request, a.attempt):
-                return self.echo(self.table.revoke(task, i.Outcome.CANCELLED), now)
+        if task := self.table.attempts.get((a.request, a.attempt)):
+            self.echo(self.table.revoke(task, i.Outcome.CANCELLED), now)
 
     def refuse(self, a: i.Refuse, now: float) -> None:
         if entry := self.table.entries.get(a.request):
@@ -236,7 +236,7 @@
         self.begin(Check(a.worker, now + self.settings.connect_timeout, now), now)
 
     def set_timer(self, a: i.SetTimer, now: float) -> None:
-        self.timers.append((a.at, a.name))
+        heappush(self.timers, (a.at, a.name))
 
     def note(self, a: i.Note, now: float) -> None:
         self.log("module-note", a.text)
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -7,6 +7,7 @@
 from .. import interface as i
 from ..limits import Limits
 from .records import Attempt, Call, Front, Gate, HostPort, Task, TaskEnded
+from .wheel import Wheel
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
 
@@ -34,6 +35,9 @@
         self.numbers: dict[Call, int] = {}
         self.rids: dict[str, int] = {}
         self.tasks: dict[Task, HostPort | None] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # those that are out, by request and number
+        self.times: Wheel[Task | Entry] = Wheel()  # when each task, and each answer, is due
+        self.late: list[Entry] = []  # came to their time in this round
         self.serial = self.held = 0
         self.most = limits.body_share * limits.memory_mb * 2**20
         self.latest = float("inf")  # no answer is owed after this: the process is stopping
@@ -59,6 +63,7 @@
         self.held += len(call.body)
         entry = self.entries[self.serial] = Entry(self.serial, call, front, due)
         self.numbers[call], self.rids[call.rid] = self.serial, self.serial
+        self.times.schedule(entry, due)
         return i.RequestArrived(entry.number, call.class_index, call.function, due, call.tenant, None,
                                 call.memory, call.lanes, call.load_time, False, call.bias,
                                 call.wanted)  # fmt: skip
@@ -75,6 +80,7 @@
         self.counts[how] += 1
         self.held -= len(entry.call.body)
         self.tell_gate(entry.call, how)
+        self.times.cancel(entry)
         del self.entries[entry.number], self.numbers[entry.call], self.rids[entry.call.rid]
 
     def tell_gate(self, call: Call, how: str) -> None:
@@ -107,6 +113,7 @@
     def begin(self, task: Task, port: HostPort | None) -> TaskEnded | None:
         """Sends a task on its way; what no mailbox takes has never run."""
         self.tasks[task] = port
+        self.times.schedule(task, task.stop_at)
         if port is None or not port.begin(task):
             return self.settle(TaskEnded(task, i.Outcome.NOT_SENT))
         return None
@@ -116,6 +123,7 @@
                        request=entry.number, number=entry.attempts)  # fmt: skip
         entry.attempts += 1
         entry.flying.append(made)
+        self.attempts[made.request, made.number] = made
         return made
 
     def settle(self, ended: TaskEnded) -> TaskEnded | None:
@@ -124,10 +132,13 @@
         if task not in self.tasks:
             return None
         del self.tasks[task]
+        self.times.cancel(task)
         task.wanted = False
-        if isinstance(task, Attempt) and (entry := self.entries.get(task.request)):
-            entry.flying.remove(task)
-            entry.may_have_run = entry.may_have_run or ended.outcome not in NEVER_RAN
+        if isinstance(task, Attempt):
+            del self.attempts[task.request, task.number]
+            if entry := self.entries.get(task.request):
+                entry.flying.remove(task)
+                entry.may_have_run = entry.may_have_run or ended.outcome not in NEVER_RAN
         return ended
 
     def revoke(self, task: Task, outcome: i.Outcome) -> TaskEnded | None:
@@ -140,21 +151,29 @@
 
     def expired(self, now: float) -> list[TaskEnded]:
         """Tasks whose time is over. A silent host cannot hold them: the table's clock ends them."""
-        late = [task for task in self.tasks if task.stop_at <= now]
-        return [ended for task in late if (ended := self.revoke(task, i.Outcome.TIMEOUT))]
+        self.late, over = [], []
+        for due in self.times.expired(now):
+            if isinstance(due, Entry):
+                self.late.append(due)
+            elif ended := self.revoke(due, i.Outcome.TIMEOUT):
+                over.append(ended)
+        return over
 
     def stop_by(self, at: float) -> None:
         """The process will be killed soon after this: every answer is owed before it."""
         self.latest = at
         for entry in self.entries.values():
             entry.due = min(entry.due, at)
+            self.times.schedule(entry, entry.due)
         for task in self.tasks:
             task.stop_at = min(task.stop_at, at)
+            self.times.schedule(task, task.stop_at)
 
-    def overdue(self, now: float) -> list[Entry]:
-        return [e for e in self.entries.values() if e.due <= now]
+    def overdue(self) -> list[Entry]:
+        """Requests that came to their time in this round, and that the module left unanswered in it."""
+        late, self.late = self.late, []
+        return [entry for entry in late if entry.number in self.entries]
 
     def next_time(self) -> float:
-        """When something here becomes due by itself."""
-        first = min((t.stop_at for t in self.tasks), default=float("inf"))
-        return min(first, min((e.due for e in self.entries.values()), default=float("inf")))
+        """When to look for what becomes due by itself."""
+        return self.times.next_time()
--- /dev/null
+++ b/harrieryoke/door/actor.py
@@ -0,0 +1,252 @@
+"""The door's actor: takes calls from the fronts, hands them to the module in fair order, and refuses in time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from .. import interface as i
+from ..core.actor import Actor, now_ms
+from ..core.module import ModuleActor
+from ..core.records import Call, Front, Stopping
+from ..core.wheel import Wheel
+from ..limits import Limits
+from ..log import Log
+from .decide.calendar import Calendar, Rate
+from .decide.fair import FairQueue, Item
+from .decide.limit import InsideLimit
+from .settings import DoorSettings
+
+NO_TENANT = "\0none"
+STOP_MS = 300.0  # before the end: what still waits is refused then
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A call that has its place in the queue."""
+
+    call: Call
+    front: Front
+    item: Item
+
+
+@dataclass(slots=True)
+class Inside:
+    """A call that was handed on."""
+
+    since: float
+    cost: float
+
+
+@dataclass(slots=True)
+class Entering:
+    call: Call
+    front: Front
+
+
+@dataclass(slots=True)
+class Left:
+    call: Call
+
+
+@dataclass(slots=True)
+class Ended:
+    call: Call
+    how: str
+
+
+@dataclass(slots=True)
+class Status:
+    tell: Callable[[dict[str, Any]], object]
+
+
+class DoorActor(Actor):
+    """Owns what waits, what is inside, and the promises. Each call that comes leaves it once: handed on, refused
+    or withdrawn; a call that was handed on is the module's to answer."""
+
+    def __init__(self, told: DoorSettings, settings: i.Settings, core: ModuleActor, limits: Limits, log: Log,
+                 seed: int, clock: Callable[[], float] = now_ms) -> None:  # fmt: skip
+        # the reserve is for the ends of what is inside: they must find room, or the limit would leak
+        super().__init__("door", limits.module_mailbox + limits.open_calls, log, reserve=limits.open_calls)
+        self.told, self.settings, self.core, self.clock = told, settings, core, clock
+        self.queue = FairQueue({t.name: t.allowance_per_s or 1.0 for t in settings.tenants}, told.queue, seed)
+        self.limit = InsideLimit(float(told.inside_least), float(told.inside_most), float(told.inside_first))
+        self.calendar = Calendar(most=told.promises)
+        self.costs = [c.aim / 4 for c in settings.classes]  # mean time inside, learned
+        self.rate = Rate(per_ms=told.inside_first / 2.0)
+        self.waiting: dict[Call, Waiting] = {}
+        self.inside: dict[Call, Inside] = {}
+        self.times: Wheel[Call] = Wheel(clock())
+        self.stop_at = float("inf")
+        self.counts: Counter[str] = Counter()
+
+    # --- the fronts' and the module's side ---
+
+    def offer(self, call: Call, front: Front) -> bool:
+        # guards the call against a door that has ended: it goes straight on
+        return self.push(Entering(call, front)) or self.core.admit(call, front)
+
+    def withdraw(self, call: Call) -> bool:
+        return self.push(Left(call)) or self.core.drop(call)
+
+    def ended(self, call: Call, how: str) -> None:
+        """What was never handed on here is passed over."""
+        if call.handed and not self.tell(Ended(call, how)):
+            self.log("door-behind", "an end could not be told to the door")
+
+    # --- the loop ---
+
+    def run(self) -> None:
+        while not self.over:
+            self.wait(min(self.times.next_time() - self.clock(), 1000.0))
+            self.work()
+            self.expire(self.clock())
+            self.pump(self.clock())
+
+    def finish(self) -> None:
+        """Guards what waits against a fault of this actor: it goes on to the module."""
+        waiting, self.over = list(self.waiting.values()), True
+        super().finish()
+        for each in waiting:
+            self.core.admit(each.call, each.front)
+        for message in list(self.box):
+            if isinstance(message, Entering):
+                self.core.admit(message.call, message.front)
+            elif isinstance(message, Left):
+                self.core.drop(message.call)
+
+    def receive(self, message: Any) -> None:
+        now = self.clock()
+        match message:
+            case Entering(call, front):
+                self.enter(call, front, now)
+            case Ended(call, how):
+                self.out(call, how, now)
+            case Left(call):
+                if self.remove(call) is None:
+                    self.core.drop(call)
+                else:
+                    self.counts["withdrawn"] += 1
+                    self.core.table.tell_watchers(call, "withdrawn")
+            case Stopping(by):
+                self.stop_at = by - STOP_MS
+                for call in self.waiting:
+                    self.times.schedule(call, self.leaves_at(call))
+            case Status(tell):
+                tell(self.status())
+        if not self.box:
+            self.pump(now)
+
+    # --- in ---
+
+    def tenant(self, call: Call) -> str:
+        return NO_TENANT if call.tenant is None else self.settings.tenants[call.tenant].name
+
+    def client(self, call: Call) -> str:
+        return call.label or call.client or call.topic
+
+    def leaves_at(self, call: Call) -> float:
+        """When a call that still waits is refused: before half of its time, so that it can be asked again."""
+        return min(call.taken + self.told.wait_share * (call.due - call.taken), self.stop_at)
+
+    def enter(self, call: Call, front: Front, now: float) -> None:
+        self.counts["came"] += 1
+        tenant, client, kind = self.tenant(call), self.client(call), self.settings.classes[call.class_index]
+        first = self.calendar.returns((tenant, client), tenant, now)
+        cost = self.costs[call.class_index]
+        item = Item(call, tenant, client, cost, kind.worth / cost, call.due, first)
+        each = Waiting(call, front, item)
+        late = not self.limit.room() and not first and now + self.wait_for(tenant) > self.leaves_at(call)
+        if late or self.leaves_at(call) <= now:
+            # it can't make its time: it leaves at once
+            self.counts["hopeless"] += 1
+            return self.refuse(each, now)
+        self.waiting[call] = each
+        self.times.schedule(call, self.leaves_at(call))
+        victim = self.queue.add(item, now)
+        if victim is not None:
+            self.counts["pushed-out"] += 1
+            out = self.waiting.pop(victim.key)  # type: ignore[call-overload]
+            self.times.cancel(out.call)
+            self.refuse(out, now)
+
+    def pump(self, now: float) -> None:
+        """Hands on as many as there is room for."""
+        while self.limit.room() and (item := self.queue.take()) is not None:
+            each = self.waiting.pop(item.key)  # type: ignore[call-overload]
+            self.times.cancel(each.call)
+            self.limit.enter()
+            self.counts["handed"] += 1
+            each.call.handed = True
+            self.inside[each.call] = Inside(now, item.cost)
+            self.core.admit(each.call, each.front)
+
+    # --- out ---
+
+    def out(self, call: Call, how: str, now: float) -> None:
+        if (was := self.inside.pop(call, None)) is None:
+            return
+        took, kind = now - was.since, self.settings.classes[call.class_index]
+        self.limit.ended(now, took, kind.aim, how in ("served", "failed"))
+        self.rate.ended(now, was.cost, bool(len(self.queue)))
+        if how == "served":
+            self.costs[call.class_index] += 0.02 * (max(1.0, took) - self.costs[call.class_index])
+
+    def remove(self, call: Call) -> Waiting | None:
+        each = self.waiting.pop(call, None)
+        if each is not None:
+            self.queue.drop(call)
+            self.times.cancel(call)
+        return each
+
+    def expire(self, now: float) -> None:
+        for call in self.times.expired(now):
+            if (each := self.remove(call)) is not None:
+                self.counts["waited-out"] += 1
+                self.refuse(each, now)
+
+    # --- refusals ---
+
+    def wait_for(self, tenant: str) -> float:
+        """How long a newcomer of the tenant would wait, in ms."""
+        return self.queue.ahead(tenant) / max(self.rate.per_ms, 1e-6)
+
+    def refuse(self, each: Waiting, now: float) -> None:
+        call, tenant = each.call, each.item.tenant
+        self.counts["refused"] += 1
+        hint = None
+        if self.settings.tells_retry_after:
+            weights = {n: t.weight for n, t in self.queue.tenants.items() if t.waiting or n == tenant}
+            share = self.rate.per_ms * weights.get(tenant, self.queue.usual) / max(sum(weights.values()), 1e-9)
+            true = self.calendar.promise((tenant, each.item.client), tenant, each.item.cost, self.wait_for(tenant),
+                                         share, now)  # fmt: skip
+            hint = min(true, self.settings.max_retry_after)
+            self.counts["hint-cut"] += true > hint  # the truth is longer than may be told
+        each.front.refused(call, hint or None)
+        self.core.table.tell_watchers(call, "refused")
+
+    # --- for the operators ---
+
+    def push_stop(self, by: float) -> None:
+        self.push(Stopping(by))
+
+    def ask_status(self, timeout_ms: float) -> dict[str, Any]:
+        told: AsyncResult = AsyncResult()
+        self.push(Status(told.set))
+        try:
+            answer: dict[str, Any] = told.get(timeout=timeout_ms / 1000)
+        except gevent.Timeout:
+            return {}
+        return answer
+
+    def status(self) -> dict[str, Any]:
+        waiting = {name: t.waiting for name, t in self.queue.tenants.items() if name != NO_TENANT}
+        return {"waiting": waiting, "inside": len(self.inside), "limit": round(self.limit.limit, 1),
+                "late": round(self.limit.late, 3), "stalls": self.limit.stalls, "counts": dict(self.counts),
+                "promises": dict(self.calendar.counts), "open_promises": len(self.calendar.promises),
+                "work_per_ms": round(self.rate.per_ms, 3)}  # fmt: skip
--- a/harrieryoke/plugins/gate.py
+++ b/harrieryoke/plugins/gate.py
@@ -28,6 +28,7 @@
 from .settings import PluginError, PluginsSettings, Use
 
 TICK_MS = 50.0
+SWEEP_MS = 5000.0
 
 
 @dataclass(slots=True, eq=False)
@@ -121,7 +122,7 @@
         self.counts: Counter[str] = Counter()
         self.why: Counter[str] = Counter()  # of the calls for which a stated default held
         self.dropped: Counter[str] = Counter()  # advice that names nothing in service
-        self.ticked = 0.0
+        self.ticked = self.swept = 0.0
         from hdrh.histogram import HdrHistogram
 
         self.passage = HdrHistogram(1, 60_000_000, 2)  # microseconds from the offer of a call to its way on
@@ -197,11 +198,12 @@
 
     def offer(self, call: Call, front: Front) -> bool:
         if any(self.sees(plugin, call) for plugin in self.plugins):
-            return self.push(Offered(call, front))
+            # guards the call against a gate that has ended: it goes on without advice
+            return self.push(Offered(call, front)) or self.core.enter(call, front)
         return self.core.enter(call, front)
 
     def withdraw(self, call: Call) -> bool:
-        return self.push(Left(call))
+        return self.push(Left(call)) or self.core.leave(call)
 
     def ended(self, call: Call, how: str) -> None:
         if call.seen and not self.tell(Ended(call, how)):
@@ -236,6 +238,8 @@
         for message in list(self.box):
             if isinstance(message, Offered):
                 self.core.enter(message.call, message.front)
+            elif isinstance(message, Left):
+                self.core.leave(message.call)
         for plugin in self.plugins:
             for instance in plugin.instances.values():
                 instance.tell(End())
@@ -280,6 +284,11 @@
         for plugin in self.plugins:
             for step in plugin.slot.steps(now):
                 self.take_step(plugin, step)
+        if now >= self.swept + SWEEP_MS or now < self.swept:
+            self.swept = now
+            # guards the memory against outcomes that the mailbox had no room for
+            for passing in [p for p in self.passed.values() if now > p.call.due + SWEEP_MS]:
+                self.outcome(passing.call, "unknown")
         for function in self.wishes.due(now):
             self.core.push(Wished(function))
 
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -11,11 +12,15 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
 import pytest
 
+from harrieryoke.core.actor import now_ms
 from harrieryoke.lab.plugins import CASES, VERSION
 from harrieryoke.lab.world import children
+from harrieryoke.limits import Limits
 from harrieryoke.plugins import bench
+from harrieryoke.plugins.gate import PluginGate
 from harrieryoke.plugins.package import read_package, verify
 from harrieryoke.plugins.settings import PluginError
 
@@ -243,6 +248,28 @@
     assert "asked for weight-read" not in log
 
 
+def test_a_gate_that_fails_lets_every_call_go_on_without_advice(tmp_path: Path) -> None:
+    (tmp_path / "p.star").write_text("def on_request(r):\n    return 'refuse'\n")
+    limits, log = Limits(), bench.Quiet()
+    core = bench.Taker(limits, log)
+    gate = PluginGate(bench.settings_for(str(tmp_path / "p.star")), bench.SETTINGS, core, limits, log)
+    core.set_gate(gate)
+    gate.load_all()
+
+    def faulty(m: object) -> None:
+        raise RuntimeError("a fault of the gate's own")
+
+    gate.heard = faulty  # type: ignore[method-assign]
+    gate.start()
+    callers, rng = [bench.Caller() for _ in range(30)], random.Random(1)
+    for caller in callers:
+        core.offer(bench.synthetic(rng, now_ms()), caller)
+        gevent.sleep(0.002)
+    assert all(caller.done.wait(5) for caller in callers)
+    assert [caller.answers for caller in callers] == [1] * 30 and gate.over
+    assert log.totals["greenlet-died"] == 1
+
+
 def test_a_plugin_sees_only_the_calls_it_is_bound_to(tmp_path: Path) -> None:
     (tmp_path / "p.star").write_text("def on_request(r):\n    return 'refuse'\n")
     run(
