Put fair queues at the door, off unless the operator's file turns them on

One flooding cooperative filled the request table and all others waited behind it; a full table gave everybody the same advice. The door queues calls by tenant share, then client, then worth; limits what is inside by what the hosts carry; refuses in time with a promise from a calendar; keeps its memory of clients in sketches of fixed size. Its decisions are pure and held against an ideal server, hosts of known capacity and herds of returning clients. The module's choice among copies leaves out the cost of hosts without room; its actions are the same to the letter.

Not yet measured on a flood with real sockets, so the issue stays open.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -112,11 +112,11 @@
         grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
         return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
 
-    def has_room(self, w: Worker, r: Request) -> bool:
+    def has_room(self, w: Worker, r: Request, usual: float) -> bool:
         """Own attempts within the worker's limit, no full answer lately, and time enough left."""
         free = len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
         # what would be given up at work feeds the jam of a jammed worker
-        return free and r.event.due - self.now >= self.usual_time(w)
+        return free and r.event.due - self.now >= usual
 
     def within_budget(self, w: Worker) -> bool:
         """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
@@ -131,11 +131,11 @@
     def usual_time(self, w: Worker) -> float:
         return max(self.strain_at(w), STRAINED / 4) * self.shortest_aim
 
-    def slowness(self, w: Worker) -> float:
+    def slowness(self, w: Worker, usual: float) -> float:
         """Answers' time against the usual; fades while nothing is heard, grows with unanswered silence."""
         faded = 1 + (w.slow - 1) * exp2(-4 * max(0.0, self.now - w.heard) / self.s.keep_alive)
         silence = self.now - max(w.heard, next(iter(w.flying.values()))) if w.flying else 0.0
-        return max(faded / sqrt(self.warmth(w)), silence / self.usual_time(w))
+        return max(faded / sqrt(self.warmth(w)), silence / usual)
 
     def take_out(self, w: Worker, dead: bool) -> None:
         """Out until an ask is answered, each time for longer; a dead one will have started anew: cold."""
@@ -376,12 +376,14 @@
             return None  # what comes too late anyway must not make others late
         best, least, bias = None, (True, float("inf")), r.event.bias or {}
         for wid, w, copy in self.candidates(f, r):
-            lanes, mine = f.lanes * copy.count, f.mine.get(wid, 0)
+            lanes, mine, draw = f.lanes * copy.count, f.mine.get(wid, 0), self.rng.random()
+            usual = self.usual_time(w)
+            if mine >= 3 * lanes or not self.has_room(w, r, usual) or not self.may_go(r, w):
+                continue
             queue = max(0.0, mine + copy.others + 1 - lanes) / lanes
-            busy = 1 + len(w.flying) + self.unseen * self.rng.random()
-            cost = (self.doubted(w, f), busy * self.slowness(w) * (1 + queue) * bias.get(wid, 1.0))
-            fits = mine < 3 * lanes and self.has_room(w, r) and self.may_go(r, w)
-            if cost < least and fits and not self.on_trial(w, f):
+            busy = 1 + len(w.flying) + self.unseen * draw
+            cost = (self.doubted(w, f), busy * self.slowness(w, usual) * (1 + queue) * bias.get(wid, 1.0))
+            if cost < least and not self.on_trial(w, f):
                 best, least = wid, cost
         return best if best is None or self.within_budget(self.workers[best]) else None
 
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -19,6 +19,7 @@
     Call,
     Check,
     Counted,
+    Door,
     Front,
     Gate,
     HostPort,
@@ -42,6 +43,7 @@
         super().__init__("module", limits.module_mailbox, log)
         self.settings, self.seed, self.clock = settings, seed, clock
         self.gate: Gate | None = None  # plug-ins, where the operator has some
+        self.door: Door | None = None  # fair queues, likewise
         self.router = Router(settings, seed)
         self.table = RequestTable(settings, limits)
         self.ports: dict[int, HostPort] = {}
@@ -68,20 +70,34 @@
     def enter(self, call: Call, front: Front) -> bool:
         """Past the gate, if there is one."""
         if not call.function:
-            self.table.tell_gate(call, "failed")
+            self.table.tell_watchers(call, "failed")
             front.failed(call, "no function was named for it")
             return True
+        return self.admit(call, front) if self.door is None else self.door.offer(call, front)
+
+    def admit(self, call: Call, front: Front) -> bool:
+        """Past the door, if there is one."""
         return self.push(Taken(call, front))
 
     def withdraw(self, call: Call) -> bool:
         return self.leave(call) if self.gate is None else self.gate.withdraw(call)
 
     def leave(self, call: Call) -> bool:
+        """The client of a call that is past the gate has left."""
+        return self.drop(call) if self.door is None else self.door.withdraw(call)
+
+    def drop(self, call: Call) -> bool:
         return self.push(Withdrawn(call))
 
     def set_gate(self, gate: Gate) -> None:
         """Before anything starts."""
-        self.gate = self.table.gate = gate
+        self.gate = gate
+        self.table.watchers.append(gate)
+
+    def set_door(self, door: Door) -> None:
+        """Before anything starts."""
+        self.door = door
+        self.table.watchers.append(door)
 
     # --- the loop ---
 
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -29,6 +29,8 @@
     wanted: float | None = None
     label: str | None = None  # for accounting
     seen: bool = False  # a plug-in's gate wants to hear of its end
+    handed: bool = False  # the door wants to hear of its end
+    client: str = ""  # who asks, as its front knows it
 
 
 class Front(Protocol):
@@ -41,9 +43,9 @@
     def failed(self, call: Call, reason: str) -> None: ...
 
 
-class Gate(Protocol):
+class Door(Protocol):
     """What stands between the fronts and the module. It passes each call on once, unless it has answered it
-    or its client has left; `ended` and `listed` never wait."""
+    or its client has left; `ended` never waits."""
 
     def offer(self, call: Call, front: Front) -> bool: ...
 
@@ -51,6 +53,10 @@
 
     def ended(self, call: Call, how: str) -> None: ...
 
+
+class Gate(Door, Protocol):
+    """A door that also hears of the list; that never waits either."""
+
     def listed(self, listed: Listed) -> None: ...
 
 
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -6,7 +6,7 @@
 
 from .. import interface as i
 from ..limits import Limits
-from .records import Attempt, Call, Front, Gate, HostPort, Task, TaskEnded
+from .records import Attempt, Call, Door, Front, HostPort, Task, TaskEnded
 from .wheel import Wheel
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
@@ -30,7 +30,7 @@
 
     def __init__(self, settings: i.Settings, limits: Limits) -> None:
         self.settings, self.limits = settings, limits
-        self.gate: Gate | None = None
+        self.watchers: list[Door] = []  # hear of each end
         self.entries: dict[int, Entry] = {}
         self.numbers: dict[Call, int] = {}
         self.rids: dict[str, int] = {}
@@ -47,7 +47,7 @@
         """Enters a call; None where it was answered on the spot."""
         if call.rid in self.rids:
             # guards against two open requests under one id: their answers could not be told apart
-            self.tell_gate(call, "failed")
+            self.tell_watchers(call, "failed")
             front.failed(call, "a request with this id is open")
             return None
         due = min(call.due, self.latest) - self.limits.answer_margin_ms
@@ -55,7 +55,7 @@
         if full or due <= now:
             # guards the memory, which is hard: what is open may not hold more than its share of it. Nothing
             # was sent: a full table or a time already over is a plain refusal
-            self.tell_gate(call, "refused")
+            self.tell_watchers(call, "refused")
             front.refused(call, self.settings.max_retry_after or None)
             return None
         self.serial += 1
@@ -79,13 +79,13 @@
     def close(self, entry: Entry, how: str) -> None:
         self.counts[how] += 1
         self.held -= len(entry.call.body)
-        self.tell_gate(entry.call, how)
+        self.tell_watchers(entry.call, how)
         self.times.cancel(entry)
         del self.entries[entry.number], self.numbers[entry.call], self.rids[entry.call.rid]
 
-    def tell_gate(self, call: Call, how: str) -> None:
-        if self.gate is not None:
-            self.gate.ended(call, how)
+    def tell_watchers(self, call: Call, how: str) -> None:
+        for watcher in self.watchers:
+            watcher.ended(call, how)
 
     def serve(self, entry: Entry, body: bytes) -> None:
         self.close(entry, "served")
--- a/harrieryoke/core/wheel.py
+++ b/harrieryoke/core/wheel.py
@@ -1,8 +1,9 @@
-"""A hierarchical timing wheel: to schedule, to cancel and to expire each cost O(1), however many are waiting.
+"""A hierarchical timing wheel: to schedule, to cancel and to expire each cost O(1), however many are
+waiting.
 
-After Varghese and Lauck, "Hashed and hierarchical timing wheels" (1987), scheme 7. Each level has 64 slots, and a
-slot of a level covers all 64 of the one below; a bitmap for each level finds the next slot in use without looking
-at the empty ones. No I/O, no clock: times are milliseconds and come from the caller.
+After Varghese and Lauck, "Hashed and hierarchical timing wheels" (1987), scheme 7. Each level has 64 slots,
+and a slot of a level covers all 64 of the one below; a bitmap for each level finds the next slot in use
+without looking at the empty ones. No I/O, no clock: times are milliseconds and come from the caller.
 """
 
 from __future__ import annotations
@@ -17,8 +18,8 @@
 
 
 class Wheel(Generic[T]):
-    """Each item waits for one time. Items beyond the span wait apart until it reaches them. A clock that steps
-    back costs one pass over all; one that steps ahead fires all that is due."""
+    """Each item waits for one time. Items beyond the span wait apart until it reaches them. A clock that
+    steps back costs one pass over all; one that steps ahead fires all that is due."""
 
     def __init__(self, now: float = 0.0) -> None:
         self.tick = int(now)
@@ -129,7 +130,8 @@
             self.place(item, at)
 
     def reach(self, target: int) -> None:
-        """The span moves on: what waits beyond it is placed anew. All within the old span has been taken out."""
+        """The span moves on: what waits beyond it is placed anew. All within the old span has been taken
+        out."""
         self.tick = target // SPAN * SPAN
         waiting, self.far = self.far, {}
         for item, at in waiting.items():
--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -1,4 +1,5 @@
-"""The door's actor: takes calls from the fronts, hands them to the module in fair order, and refuses in time."""
+"""The door's actor: takes calls from the fronts, hands them to the module in fair order, and refuses in
+time."""
 
 from __future__ import annotations
 
@@ -66,11 +67,19 @@
 
 
 class DoorActor(Actor):
-    """Owns what waits, what is inside, and the promises. Each call that comes leaves it once: handed on, refused
-    or withdrawn; a call that was handed on is the module's to answer."""
-
-    def __init__(self, told: DoorSettings, settings: i.Settings, core: ModuleActor, limits: Limits, log: Log,
-                 seed: int, clock: Callable[[], float] = now_ms) -> None:  # fmt: skip
+    """Owns what waits, what is inside, and the promises. Each call that comes leaves it once: handed on,
+    refused or withdrawn; a call that was handed on is the module's to answer."""
+
+    def __init__(
+        self,
+        told: DoorSettings,
+        settings: i.Settings,
+        core: ModuleActor,
+        limits: Limits,
+        log: Log,
+        seed: int,
+        clock: Callable[[], float] = now_ms,
+    ) -> None:
         # the reserve is for the ends of what is inside: they must find room, or the limit would leak
         super().__init__("door", limits.module_mailbox + limits.open_calls, log, reserve=limits.open_calls)
         self.told, self.settings, self.core, self.clock = told, settings, core, clock
@@ -78,7 +87,7 @@
         self.limit = InsideLimit(float(told.inside_least), float(told.inside_most), float(told.inside_first))
         self.calendar = Calendar(most=told.promises)
         self.costs = [c.aim / 4 for c in settings.classes]  # mean time inside, learned
-        self.rate = Rate(per_ms=told.inside_first / 2.0)
+        self.rate = Rate(per_ms=float(told.inside_first))
         self.waiting: dict[Call, Waiting] = {}
         self.inside: dict[Call, Inside] = {}
         self.times: Wheel[Call] = Wheel(clock())
@@ -222,9 +231,12 @@
         hint = None
         if self.settings.tells_retry_after:
             weights = {n: t.weight for n, t in self.queue.tenants.items() if t.waiting or n == tenant}
-            share = self.rate.per_ms * weights.get(tenant, self.queue.usual) / max(sum(weights.values()), 1e-9)
-            true = self.calendar.promise((tenant, each.item.client), tenant, each.item.cost, self.wait_for(tenant),
-                                         share, now)  # fmt: skip
+            share = (
+                self.rate.per_ms * weights.get(tenant, self.queue.usual) / max(sum(weights.values()), 1e-9)
+            )
+            true = self.calendar.promise(
+                (tenant, each.item.client), tenant, each.item.cost, self.wait_for(tenant), share, now
+            )
             hint = min(true, self.settings.max_retry_after)
             self.counts["hint-cut"] += true > hint  # the truth is longer than may be told
         each.front.refused(call, hint or None)
@@ -246,7 +258,14 @@
 
     def status(self) -> dict[str, Any]:
         waiting = {name: t.waiting for name, t in self.queue.tenants.items() if name != NO_TENANT}
-        return {"waiting": waiting, "inside": len(self.inside), "limit": round(self.limit.limit, 1),
-                "late": round(self.limit.late, 3), "stalls": self.limit.stalls, "counts": dict(self.counts),
-                "promises": dict(self.calendar.counts), "open_promises": len(self.calendar.promises),
-                "work_per_ms": round(self.rate.per_ms, 3)}  # fmt: skip
+        return {
+            "waiting": waiting,
+            "inside": len(self.inside),
+            "limit": round(self.limit.limit, 1),
+            "late": round(self.limit.late, 3),
+            "stalls": self.limit.stalls,
+            "counts": dict(self.counts),
+            "promises": dict(self.calendar.counts),
+            "open_promises": len(self.calendar.promises),
+            "work_per_ms": round(self.rate.per_ms, 3),
+        }
--- a/harrieryoke/door/decide/calendar.py
+++ b/harrieryoke/door/decide/calendar.py
@@ -1,8 +1,10 @@
-"""When to come back: a calendar of promises, so that whoever returns at its time is served, and not all at once.
+"""When to come back: a calendar of promises, so that whoever returns at its time is served, and not all at
+once.
 
-Time ahead is cut into days of some milliseconds; each has room for the work that the tenant's share of the measured
-service rate can do in it. A refused client gets the first day, no sooner than its real wait, that has room left. One
-promise a client; it counts against the tenant's share from then on, and lapses if the client does not come.
+Time ahead is cut into days of some milliseconds; each has room for the work that the tenant's share of the
+measured service rate can do in it. A refused client gets the first day, no sooner than its real wait, that
+has room left. One promise a client; it counts against the tenant's share from then on, and lapses if the
+client does not come.
 """
 
 from __future__ import annotations
@@ -42,8 +44,8 @@
 
 @dataclass(slots=True)
 class Calendar:
-    """Promises by client, and by tenant and day. Bounded by `most`; beyond it nobody is promised anything, and
-    the wait alone is told."""
+    """Promises by client, and by tenant and day. Bounded by `most`; beyond it nobody is promised anything,
+    and the wait alone is told."""
 
     day_ms: float = 25.0
     grace_ms: float = 2000.0
@@ -55,7 +57,9 @@
     counts: Counter[str] = field(default_factory=Counter)
     swept: float = 0.0
 
-    def promise(self, client: Hashable, tenant: str, cost: float, wait: float, per_ms: float, now: float) -> float:
+    def promise(
+        self, client: Hashable, tenant: str, cost: float, wait: float, per_ms: float, now: float
+    ) -> float:
         """Milliseconds from now at which the client is to come: never less than `wait`. `per_ms` is the work
         that the tenant's share can do a millisecond."""
         self.sweep(now)
@@ -77,8 +81,8 @@
         return at - now
 
     def returns(self, client: Hashable, tenant: str, now: float) -> bool:
-        """Whether the client keeps its promise by coming now. It is used up then; one that comes early keeps it
-        and gains nothing."""
+        """Whether the client keeps its promise by coming now. It is used up then; one that comes early
+        keeps it and gains nothing."""
         held = self.promises.get(client)
         if held is None:
             return False
@@ -99,8 +103,8 @@
             self.days.pop((tenant, held.day), None)
 
     def sweep(self, now: float) -> None:
-        """Once a second at most: what has lapsed goes. A clock that stepped back moves no promise further away
-        than it was told."""
+        """Once a second at most: what has lapsed goes. A clock that stepped back moves no promise further
+        away than it was told."""
         if 0 <= now - self.swept < 1000.0:
             return
         back = now < self.swept
--- a/harrieryoke/door/decide/fair.py
+++ b/harrieryoke/door/decide/fair.py
@@ -1,9 +1,11 @@
-"""Hierarchical start-time fair queueing: tenants by their shares, then clients, then calls by worth and time left.
-
-Goyal, Vin and Cheng, "Start-time fair queuing" (1996): each flow has a finish tag; what it sends next starts at the
-later of that tag and the virtual time, which is the start tag of what is in service; the least start tag goes first.
-An idle flow saves up no credit, and a backlogged one is at most one largest call per flow behind an ideal fluid
-server. Shares of idle tenants go to whoever waits, in proportion, by the same rule.
+"""Hierarchical start-time fair queueing: tenants by their shares, then clients, then calls by worth and
+time left.
+
+Goyal, Vin and Cheng, "Start-time fair queuing" (1996): each flow has a finish tag; what it sends next
+starts at the later of that tag and the virtual time, which is the start tag of what is in service; the
+least start tag goes first. An idle flow saves up no credit, and a backlogged one is at most one largest
+call per flow behind an ideal fluid server. Shares of idle tenants go to whoever waits, in proportion, by
+the same rule.
 """
 
 from __future__ import annotations
@@ -54,8 +56,9 @@
 
 
 class FairQueue:
-    """`add`, `take` and `drop` are O(log n) in what waits for one tenant; tenants are few. At `most` calls the
-    victim is the least worth of the tenant that holds most work for its weight, which may be the newcomer."""
+    """`add`, `take` and `drop` are O(log n) in what waits for one tenant; tenants are few. At `most` calls
+    the victim is the least worth of the tenant that holds most work for its weight, which may be the
+    newcomer."""
 
     def __init__(self, weights: dict[str, float], most: int, seed: int, usual: float = 0.01) -> None:
         self.most, self.usual, self.seed = most, usual, seed
@@ -178,7 +181,7 @@
             return item
 
     def ahead(self, tenant: str) -> float:
-        """Work that is served before a newcomer of the tenant could be, at its share among those that wait."""
+        """Work that is served before a newcomer of the tenant could be, at its share of what waits."""
         t = self.tenant(tenant)
         weights = sum(o.weight for name, o in self.tenants.items() if o.waiting or name == tenant)
         return t.backlog * weights / t.weight
--- a/harrieryoke/door/decide/limit.py
+++ b/harrieryoke/door/decide/limit.py
@@ -1,8 +1,8 @@
 """The limit on what is inside: handed to the module and not ended. Adapts to what the hosts carry.
 
-Additive increase while the limit is used and answers come well within their aims; multiplicative decrease, once an
-answer's time, when too many come late (Chiu and Jain 1989). Silence of everything is no verdict: the limit stays,
-and after it the work that was found before is found again by doubling.
+Additive increase while the limit is used and answers come well within their aims; multiplicative decrease,
+once an answer's time, when too many come late (Chiu and Jain 1989). Silence of everything is no verdict:
+the limit stays, and after it the work that was found before is found again by doubling.
 """
 
 from __future__ import annotations
--- a/harrieryoke/door/decide/sketch.py
+++ b/harrieryoke/door/decide/sketch.py
@@ -1,8 +1,9 @@
 """What is remembered of clients in fixed memory, however many there are.
 
-A table of a few rows of cells; a client has one cell in each row, by a seeded hash, and its value is the least of
-them (as in a count-min sketch with conservative update, Estan and Varghese 2002). The value only ever rises, and
-what lies behind the scheduler's virtual time is worth as much as nothing: that is its aging.
+A table of a few rows of cells; a client has one cell in each row, by a seeded hash, and its value is the
+least of them (as in a count-min sketch with conservative update, Estan and Varghese 2002). The value only
+ever rises, and what lies behind the scheduler's virtual time is worth as much as nothing: that is its
+aging.
 """
 
 from __future__ import annotations
@@ -13,8 +14,8 @@
 
 
 class Seen:
-    """Which ids came lately, in two generations of a Bloom filter (Bloom 1970): one that is filled, and the one
-    before it. An id is known for one to two `ages`."""
+    """Which ids came lately, in two generations of a Bloom filter (Bloom 1970): one that is filled, and the
+    one before it. An id is known for one to two `ages`."""
 
     def __init__(self, seed: int, age_ms: float = 60_000.0, bits: int = 1 << 19) -> None:
         self.seed, self.age, self.bits = seed, age_ms, bits
--- a/harrieryoke/lab/rounds.py
+++ b/harrieryoke/lab/rounds.py
@@ -1,7 +1,7 @@
 """The experiment `rounds`: what the module actor's rounds cost, in simulated time, without sockets.
 
-Calls arrive at random moments and instant hosts answer after their work; the actor's own `step` is called for each
-round as its loop would. What is measured is the processor's time of the rounds alone.
+Calls arrive at random moments and instant hosts answer after their work; the actor's own `step` is called
+for each round as its loop would. What is measured is the processor's time of the rounds alone.
 """
 
 from __future__ import annotations
@@ -22,10 +22,24 @@
         i.RequestClass("weight-read", 1000, 4000, 2, 0.2, i.Effect.SAFE),
         i.RequestClass("harvest-log", 750, 3000, 3, 0.2, i.Effect.KEYED, i.Group.CELL, 6000),
     ),
-    tick=2, max_attempts=5, may_cancel=True, cold_period=14000, cold_share=0.15, fall_multiple=4, fall_time=3000,
-    keep_alive=8100, ration_window=5000, ration_floor=6, ration_share=0.3, answer_slack=8, max_retry_after=500,
-    tells_retry_after=True, memory_by_kind=(16000.0,), tells_found=True, tells_crowd=True,
-)  # fmt: skip
+    tick=2,
+    max_attempts=5,
+    may_cancel=True,
+    cold_period=14000,
+    cold_share=0.15,
+    fall_multiple=4,
+    fall_time=3000,
+    keep_alive=8100,
+    ration_window=5000,
+    ration_floor=6,
+    ration_share=0.3,
+    answer_slack=8,
+    max_retry_after=500,
+    tells_retry_after=True,
+    memory_by_kind=(16000.0,),
+    tells_found=True,
+    tells_crowd=True,
+)
 START = 1_700_000_000_000.0
 
 
@@ -38,7 +52,11 @@
     def served(self, call: Call, body: bytes) -> None:
         self.answers += 1
 
-    refused = failed = served  # type: ignore[assignment]
+    def refused(self, call: Call, retry_after: float | None) -> None:
+        self.answers += 1
+
+    def failed(self, call: Call, reason: str) -> None:
+        self.answers += 1
 
 
 class Port:
@@ -87,8 +105,12 @@
         kind = int(self.rng.random() < 0.21)
         function = f"{min(int(self.rng.paretovariate(0.8)), 150):016x}"
         due = self.now + SETTINGS.classes[kind].deadline * self.rng.uniform(0.5, 1.0)
-        return Taken(Call(f"{self.calls:016x}", kind, function, due, b"", f"k{self.calls}", None, 400, 4, 400,
-                          self.now), self.front)  # fmt: skip
+        return Taken(
+            Call(
+                f"{self.calls:016x}", kind, function, due, b"", f"k{self.calls}", None, 400, 4, 400, self.now
+            ),
+            self.front,
+        )
 
     def run(self, seconds: float) -> float:
         """Processor seconds that the rounds took."""
@@ -118,7 +140,16 @@
     spent = world.run(seconds)
     calls, rounds = world.calls - calls, world.rounds - rounds
     counts = world.actor.table.counts
-    return {"case": f"rounds-{rate:g}", "calls": calls, "rounds": rounds, "most_open": world.most_open,
-            "us_per_round": round(1e6 * spent / rounds, 2), "us_per_call": round(1e6 * spent / calls, 2),
-            "core_share": round(spent / seconds, 4), "served": counts["served"], "refused": counts["refused"],
-            "failed": counts["failed"], "guarded": counts["guarded"]}  # fmt: skip
+    return {
+        "case": f"rounds-{rate:g}",
+        "calls": calls,
+        "rounds": rounds,
+        "most_open": world.most_open,
+        "us_per_round": round(1e6 * spent / rounds, 2),
+        "us_per_call": round(1e6 * spent / calls, 2),
+        "core_share": round(spent / seconds, 4),
+        "served": counts["served"],
+        "refused": counts["refused"],
+        "failed": counts["failed"],
+        "guarded": counts["guarded"],
+    }
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -91,6 +91,7 @@
         # guards against a client that does not read: its answer fails, and its connection ends
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
+        self.peer = name.rpartition(":")[0]
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
         self.stopping = False
@@ -209,8 +210,10 @@
             raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
         try:
             p: CallParams = msgspec.json.decode(params, type=CallParams)
-            return self.maker.make(method, p.rid, p.obj, p.budget, at, p.blob, p.token, p.acct,
+            made = self.maker.make(method, p.rid, p.obj, p.budget, at, p.blob, p.token, p.acct,
                                    read_props(p.props))  # fmt: skip
+            made.client = self.peer
+            return made
         except (msgspec.MsgspecError, BadCall, ValueError) as error:
             raise BadRequest(BAD_PARAMS, str(error)) from None
 
--- a/harrieryoke/operator_file.py
+++ b/harrieryoke/operator_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -14,6 +15,8 @@
 from .core.calls import CallMaker
 from .core.module import ModuleActor
 from .descriptions import DescriptionError, read_asyncapi
+from .door.actor import DoorActor
+from .door.settings import DoorError, DoorSettings
 from .limits import Limits
 from .log import Log
 from .mqtt.front import BrokerActor, MqttSettings
@@ -29,6 +32,7 @@
 
     mqtt: MqttSettings | None = None
     plugins: PluginsSettings | None = None
+    door: DoorSettings | None = None
     ops: OpsSettings | None = None
     asyncapi: str | None = None  # a document that adds triggers
     limits: dict[str, float] = {}
@@ -43,6 +47,12 @@
             except PluginError as error:
                 raise ConfigError(str(error)) from None
 
+        if self.door is not None:
+            try:
+                self.door.check()
+            except DoorError as error:
+                raise ConfigError(str(error)) from None
+
     def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
               answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]]) -> Parts:  # fmt: skip
         """What the file turns on, made ready. Plug-ins are loaded."""
@@ -50,6 +60,8 @@
         if self.mqtt is not None:
             where = read_address("mqtt.broker", self.mqtt.broker)
             made.broker = BrokerActor(self.mqtt, where, maker, core, limits, log)
+        if self.door is not None:
+            made.door = DoorActor(self.door, settings, core, limits, log, secrets.randbits(62))
         if self.plugins is not None and self.plugins.use:
             try:
                 made.gate = gate = PluginGate(self.plugins, settings, core, limits, log)
--- a/harrieryoke/ops.py
+++ b/harrieryoke/ops.py
@@ -30,11 +30,15 @@
 PLUGINS = {"type": "object", "required": ["plugins", "by_default"], "properties": {
     "plugins": {"type": "array", "items": {"type": "object", "required": ["name", "serving", "versions"]}},
     "by_default": COUNTERS, "advice_dropped": COUNTERS}}  # fmt: skip
+DOOR = {"type": "object", "required": ["waiting", "inside", "limit", "counts"], "properties": {
+    "waiting": COUNTERS, "inside": {"type": "integer"}, "counts": COUNTERS,
+    "promises": COUNTERS}}  # fmt: skip
 BEGUN = {"type": "object", "additionalProperties": {"type": "string"}}
 # path -> its method, what it is for, the statuses it answers with, and the schema of the body
 ROUTES: dict[str, tuple[str, str, tuple[int, ...], dict[str, Any]]] = {
     "/healthz": ("GET", "whether the invoker takes requests", (200, 503), HEALTH),
     "/counters": ("GET", "requests, triggers and log lines so far, by kind", (200,), COUNTS),
+    "/door": ("GET", "fair queues: what waits, what is inside, promises", (200, 404), DOOR),
     "/plugins": ("GET", "plug-ins, their versions and figures", (200, 404), PLUGINS),
     "/plugins/swap": ("POST", "read plug-ins anew: the one of ?name=, or all", (202, 404), BEGUN),
 }
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -11,7 +11,7 @@
 from . import interface as i
 from .core.calls import CallMaker
 from .core.module import ModuleActor
-from .core.records import Gate
+from .core.records import Door, Gate
 from .limits import Limits
 from .log import Log
 
@@ -30,6 +30,14 @@
     def push(self, message: Any) -> bool: ...
 
 
+class DoorPart(Part, Door, Protocol):
+    """Fair queues before the module."""
+
+    def push_stop(self, by: float) -> None: ...
+
+    def ask_status(self, timeout_ms: float) -> dict[str, Any]: ...
+
+
 class GatePart(Part, Gate, Protocol):
     """The plug-ins. `ask_status` and `ask_swap` wait for the gate's answer, within `timeout_ms`."""
 
@@ -44,6 +52,7 @@
 class Parts:
     broker: BrokerPart | None = None
     gate: GatePart | None = None
+    door: DoorPart | None = None
     ops: Part | None = None
 
 
--- a/harrieryoke/plugins/bench.py
+++ b/harrieryoke/plugins/bench.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from typing import Any
 
 import gevent
@@ -44,7 +43,6 @@
 
     def __init__(self, limits: Limits, log: Log) -> None:
         super().__init__(SETTINGS, 1, limits, log)
-        self.ended: dict[Call, tuple[Event, Counter[str]]] = {}
 
     def enter(self, call: Call, front: Front) -> bool:
         front.served(call, b"")
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -43,12 +43,15 @@
         self.broker, self.gate = self.parts.broker, self.parts.gate
         if self.gate is not None:
             self.core.set_gate(self.gate)
+        if self.parts.door is not None:
+            self.core.set_door(self.parts.door)
         self.stop, self.broken = Event(), False
 
     def start(self) -> None:
         self.hosts.begin(self.config.known)
-        if self.gate is not None:
-            self.gate.start()
+        for before in (self.gate, self.parts.door):
+            if before is not None:
+                before.start()
         self.hosts.start()
         self.core.start()
         self.bus.start()
@@ -104,8 +107,9 @@
         by = began + min(self.limits.stop_within_ms, longest + 500.0)
         self.log("stopping", f"all is answered within {by - began:.0f} ms")
         self.core.push(Stopping(by))
-        if self.gate is not None:
-            self.gate.push_stop(by)
+        for before in (self.gate, self.parts.door):
+            if before is not None:
+                before.push_stop(by)
         if self.broker is not None:
             self.broker.push_stop()
         gevent.sleep(self.limits.stop_accepting_ms / 1000)
@@ -139,5 +143,9 @@
                 return 200, self.gate.ask_status(self.limits.write_ms)
             begun = self.gate.ask_swap(query.get("name"), self.limits.write_ms)
             return (202, begun) if begun else (404, {"error": "there is no such plug-in"})
+        if path == "/door":
+            if self.parts.door is None:
+                return 404, {"error": "there is no door"}
+            return 200, self.parts.door.ask_status(self.limits.write_ms)
         counts = {"requests": self.counts(self.core), "log": dict(self.log.totals)}
         return 200, counts | ({} if self.broker is None else {"triggers": self.counts(self.broker)})
--- a/tests/test_door_decide.py
+++ b/tests/test_door_decide.py
@@ -18,18 +18,23 @@
 FUZZ = settings(max_examples=150, deadline=None, derandomize=True)
 
 
-def item(key: int, tenant: str, client: str = "c", cost: float = 1.0, worth: float = 1.0, due: float = 1e6) -> Item:
+def item(
+    key: int, tenant: str, client: str = "c", cost: float = 1.0, worth: float = 1.0, due: float = 1e6
+) -> Item:
     return Item(key, tenant, client, cost, worth, due)
 
 
 @FUZZ
-@given(st.integers(0, 1 << 30), st.lists(st.sampled_from(sorted(SHARES)), min_size=2, max_size=5, unique=True))
+@given(
+    st.integers(0, 1 << 30), st.lists(st.sampled_from(sorted(SHARES)), min_size=2, max_size=5, unique=True)
+)
 def test_no_backlogged_tenant_is_further_behind_the_fluid_server_than_a_call_of_each(
     seed: int, backlogged: list[str]
 ) -> None:
     """Start-time fair queueing's bound: what two backlogged tenants got, by weight, differs by at most one
     largest call of each, by weight. Others come and go as they like."""
-    rng, queue, got = random.Random(seed), FairQueue(SHARES, 10_000, seed), Counter[str]()
+    rng, queue = random.Random(seed), FairQueue(SHARES, 10_000, seed)
+    got = dict.fromkeys(SHARES, 0.0)
     key, waiting = 0, Counter[str]()
     most = 4.0
     for _ in range(400):
@@ -46,14 +51,14 @@
         taken = queue.take()
         assert taken is not None
         waiting[taken.tenant] -= 1
-        got[taken.tenant] += taken.cost  # type: ignore[assignment]
+        got[taken.tenant] += taken.cost
         for a in backlogged:
             for b in backlogged:
                 lag = got[a] / SHARES[a] - got[b] / SHARES[b]
                 assert lag <= most / SHARES[a] + most / SHARES[b] + 1e-6
 
 
-def flood(queue: FairQueue, rounds: int, clients: int, rng: random.Random) -> Counter[str]:
+def flood(queue: FairQueue, rounds: int, clients: int, rng: random.Random) -> dict[str, float]:
     """One tenant sends ten times its share, the others theirs; the served share of each tenant's calls."""
     got, asked = Counter[str](), Counter[str]()
     for n in range(rounds):
@@ -65,7 +70,7 @@
                 queue.add(item(sum(asked.values()), tenant, client, due=n + 500.0), float(n))
         if (taken := queue.take()) is not None:
             got[taken.tenant] += 1
-    return Counter({t: got[t] / asked[t] for t in SHARES})  # type: ignore[misc]
+    return {t: got[t] / asked[t] for t in SHARES}
 
 
 @pytest.mark.parametrize("clients", [1, 10_000])
@@ -131,12 +136,16 @@
 
 @FUZZ
 @given(st.lists(st.tuples(st.sampled_from(["add", "add", "take", "drop"]), st.integers(0, 40)), max_size=200))
-def test_what_waits_is_taken_or_dropped_once_and_never_more_than_its_bound(play: list[tuple[str, int]]) -> None:
+def test_what_waits_is_taken_or_dropped_once_and_never_more_than_its_bound(
+    play: list[tuple[str, int]],
+) -> None:
     queue, inside, n = FairQueue(SHARES, 12, 5), dict[int, Item](), 0
     for what, pick in play:
         if what == "add":
             n += 1
-            made = Item(n, sorted(SHARES)[pick % 5], f"c{pick % 7}", 1.0 + pick % 3, 1.0, 1e6, first=pick % 9 == 0)
+            made = Item(
+                n, sorted(SHARES)[pick % 5], f"c{pick % 7}", 1.0 + pick % 3, 1.0, 1e6, first=pick % 9 == 0
+            )
             victim = queue.add(made, 0.0)
             inside[n] = made
             if victim is not None:
@@ -154,8 +163,11 @@
         assert all(t.waiting == waiting[name] for name, t in queue.tenants.items())
 
 
-def carry(limit: InsideLimit, capacity: float, seconds: float, start: float, work: float = 200.0) -> list[float]:
-    """Hosts that run `capacity` calls at a time; more inside only make each other slower. The limit each 100 ms."""
+def carry(
+    limit: InsideLimit, capacity: float, seconds: float, start: float, work: float = 200.0
+) -> list[float]:
+    """Hosts that run `capacity` calls at a time; more inside only make each other slower. The limit each
+    100 ms."""
     now, seen, ends = start, list[float](), list[tuple[float, float]]()
     while now < start + seconds * 1000:
         for _ in range(limit.room()):
@@ -198,7 +210,9 @@
 
 
 @FUZZ
-@given(st.lists(st.tuples(st.floats(0, 3000), st.floats(0.1, 5)), min_size=1, max_size=300), st.floats(0.01, 2))
+@given(
+    st.lists(st.tuples(st.floats(0, 3000), st.floats(0.1, 5)), min_size=1, max_size=300), st.floats(0.01, 2)
+)
 def test_no_hint_is_shorter_than_the_wait_and_no_day_holds_more_than_its_room(
     asks: list[tuple[float, float]], per_ms: float
 ) -> None:
