--- a/harrieryoke/lab/case.py
+++ b/harrieryoke/lab/case.py
@@ -13,10 +13,11 @@
 def main() -> None:
     import msgspec
 
-    from . import plugins
+    from . import door, plugins
 
-    _, case, seed, seconds, rate, folder, out = sys.argv[1:]
-    figures = plugins.play(case, int(seed), float(seconds), float(rate), Path(folder))
+    name, case, seed, seconds, rate, folder, out = sys.argv[1:]
+    play = {"plugins": plugins.play, "door": door.play}[name]
+    figures = play(case, int(seed), float(seconds), float(rate), Path(folder))
     Path(out).write_bytes(msgspec.json.encode(figures))
 
 
--- a/harrieryoke/lab/clients.py
+++ b/harrieryoke/lab/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,13 +28,16 @@
     answered: float = 0.0
     backoff: float | None = None
     lost: bool = False  # its connection ended
+    hinted: bool = False  # it is a return at the time that was told
+    again: Callable[[Sent], None] | None = None
 
 
 class Connection:
     """One client connection with up to 32 open calls."""
 
-    def __init__(self, where: tuple[str, int]) -> None:
-        self.sock = socket.create_connection(where, 5)
+    def __init__(self, where: tuple[str, int], source: str = "127.0.0.1") -> None:
+        self.source = source
+        self.sock = socket.create_connection(where, 5, (source, 0))
         self.sock.settimeout(None)
         self.open: dict[int, Sent] = {}
         self.known: dict[int, Sent] = {}
@@ -81,6 +85,8 @@
         call.how = "served" if error is None else "refused" if error["code"] == -32050 else "failed"
         if error is not None:
             call.backoff = (error.get("data") or {}).get("backoff")
+            if call.backoff and call.again is not None:
+                call.again(call)
 
     def end(self) -> None:
         self.over = True
@@ -96,6 +102,7 @@
     name: str
     part: float
     functions: int = 8
+    clients: int = 0  # addresses that its calls come from; 0: all from one
 
 
 class Load:
@@ -107,6 +114,9 @@
         self.where, self.rate, self.tenants, self.rng = where, rate, tenants, rng
         self.calls: list[Sent] = []
         self.connections: list[Connection] = []
+        self.returns = False  # who is refused with advice stays away until then, and returns once
+        self.away: dict[str, float] = {}
+        self.stayed = 0  # calls that were not sent since their client stayed away
 
     def run(self, seconds: float) -> None:
         until, next_at = now_ms() + seconds * 1000, now_ms()
@@ -130,6 +140,12 @@
         rank = min(int(self.rng.paretovariate(1.0)), tenant.functions) - 1
         keyed = self.rng.random() < 0.21
         kind, longest = ("harvest-log", 3000.0) if keyed else ("weight-read", 4000.0)
+        number = self.tenants.index(tenant) + 1
+        source = f"127.0.{number}.{1 + self.rng.randrange(tenant.clients)}" if tenant.clients else "127.0.0.1"
+        if self.away.get(source, 0.0) > now_ms():
+            self.stayed += 1
+            return
+        function = function_of(tenant.name, kind, rank)
         call = Sent(
             f"{self.rng.getrandbits(64):016x}",
             tenant.name,
@@ -138,14 +154,34 @@
             longest * self.rng.uniform(0.5, 1.0),
         )
         key = f"k{self.rng.getrandbits(48):x}" if keyed else None
+        if self.returns:
+            call.again = lambda refused: self.later(refused, source, function, key)
         self.calls.append(call)
-        self.connection().send(call, function_of(tenant.name, kind, rank), key, b"kg 41")
-
-    def connection(self) -> Connection:
+        self.connection(source).send(call, function, key, b"kg 41")
+
+    def later(self, refused: Sent, source: str, function: str, key: str | None) -> None:
+        """A client that does as it was told."""
+        self.away[source] = now_ms() + (refused.backoff or 0.0)
+
+        def come() -> None:
+            call = Sent(
+                f"{self.rng.getrandbits(64):016x}",
+                refused.tenant,
+                refused.kind,
+                now_ms(),
+                refused.budget,
+                hinted=True,
+            )
+            self.calls.append(call)
+            self.connection(source).send(call, function, key, b"kg 41")
+
+        gevent.spawn_later((refused.backoff or 0.0) / 1000, come)
+
+    def connection(self, source: str) -> Connection:
         self.connections = [c for c in self.connections if not c.over]
-        free = [c for c in self.connections if len(c.open) < 24]
+        free = [c for c in self.connections if len(c.open) < 24 and c.source == source]
         if not free:
-            free = [Connection(self.where)]
+            free = [Connection(self.where, source)]
             self.connections += free
         return min(free, key=lambda c: len(c.open))
 
--- a/harrieryoke/lab/experiments.py
+++ b/harrieryoke/lab/experiments.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-NAMES = ("plugins",)
+NAMES = ("plugins", "door", "rounds")
 AT_A_TIME = 2  # a case wants two or three cores: invoker, plug-in, and the emulated rest
 HOSTILE_ZERO = ("unanswered", "doubled", "late", "orders_over_budget", "sends_after_drain")
 
@@ -44,6 +44,21 @@
         return figures
 
 
+def rounds(seed: int, seconds: float, file: str | None) -> int:
+    """The cost of the module actor's rounds, in this process and in simulated time."""
+    from .rounds import play
+
+    report = {
+        "experiment": "rounds",
+        "seed": seed,
+        "cases": [play(seed, seconds, rate) for rate in (150, 600)],
+    }
+    if file is not None:
+        Path(file).write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    print(msgspec.json.encode(report).decode())
+    return 0
+
+
 def run(
     name: str,
     seed: int,
@@ -56,13 +71,17 @@
     if name not in NAMES:
         print(f"harrieryoke: lab: one of {', '.join(NAMES)} is wanted, not {name!r}", file=sys.stderr)
         return 2
-    from .plugins import CASES
+    if name == "rounds":
+        return rounds(seed, seconds, file)
+    from . import door, plugins
 
-    chosen = cases or list(CASES)
+    chosen = cases or list(plugins.CASES if name == "plugins" else door.CASES)
     with ThreadPoolExecutor(AT_A_TIME) as pool:
         played = list(pool.map(lambda case: one_case(name, case, seed, seconds, rate), chosen))
     bases = {c["case"]: c for c in played if c["case"] in ("none", "calm-none") and "failed" not in c}
     for figures in played:
+        if name != "plugins":
+            continue
         base = bases.get("calm-none" if figures["case"].startswith("calm-") else "none")
         if base is not None and "failed" not in figures:
             figures["others_vs_none"] = round(
@@ -70,7 +89,7 @@
             )
             figures["calls_per_s_vs_none"] = round(figures["calls_per_s"] / base["calls_per_s"], 3)
             figures["p99_added_ms"] = round(figures["p99_ms"] - base["p99_ms"], 2)
-    broken = [f["case"] for f in played if "failed" in f or any(f[key] for key in HOSTILE_ZERO)]
+    broken = [f["case"] for f in played if "failed" in f or any(f.get(key) for key in HOSTILE_ZERO)]
     report = {
         "experiment": name,
         "seed": seed,
--- a/harrieryoke/lab/hosts.py
+++ b/harrieryoke/lab/hosts.py
@@ -40,6 +40,7 @@
     lanes: int = 4
     room: int = 40  # copies
     queue: int = 64
+    cores: int = 0  # calls at work beyond them slow each other down; 0: they do not
     steady: bool = False  # each call takes just `work`; else that is the mean
 
 
@@ -64,7 +65,7 @@
         self.state, self.started = "active", 0.0
         self.told: list[tuple[float, str]] = []  # when the bus told which state
         self.links: set[Any] = set()
-        self.life = 0
+        self.life = self.at_work = 0
         self.copies: dict[str, Copies] = defaultdict(Copies)
         self.server: StreamServer | None = None
         self.port = 0
@@ -164,7 +165,11 @@
                     held.waiting.remove(turn)
                 return self.say(sock, frames.OVER, frame.id)
         held.busy += 1
-        gevent.sleep((1.0 if self.shape.steady else self.rng.expovariate(1.0)) * self.shape.work / 1000)
+        self.at_work += 1
+        slow = max(1.0, self.at_work / self.shape.cores) if self.shape.cores else 1.0
+        drawn = 1.0 if self.shape.steady else self.rng.expovariate(1.0)
+        gevent.sleep(slow * drawn * self.shape.work / 1000)
+        self.at_work -= 1
         held.busy -= 1
         held.used = now_ms()
         self.wake(held)
--- a/harrieryoke/lab/world.py
+++ b/harrieryoke/lab/world.py
@@ -94,6 +94,7 @@
         hosts: int = 8,
         tenants: list[Tenant] | None = None,
         shape: Shape | None = None,
+        most_backoff: float = 500.0,
     ) -> None:
         self.shape = shape or Shape()
         self.folder, self.rng = folder, random.Random(seed)
@@ -111,7 +112,7 @@
             "limits": {"memory_mb": 1024, "sockets": 1024},
             "bus": self.bus.address(),
             "known": known,
-            "settings": SETTINGS,
+            "settings": SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"max-retry-after": most_backoff}},
         }
         (folder / "config.json").write_bytes(msgspec.json.encode(config))
         (folder / "operator.toml").write_text(operator + f'\n[ops]\nlisten = "{self.ops}"\n')
@@ -208,13 +209,13 @@
         pids = [self.process.pid, *children(self.process.pid)]
         return sum(cpu_seconds(pid) for pid in pids)
 
-    def status(self) -> dict[str, Any]:
-        """What the invoker says of its plug-ins."""
+    def status(self, path: str = "/plugins") -> dict[str, Any]:
+        """What the invoker says of its plug-ins, or of its door."""
         import http.client
 
         connection = http.client.HTTPConnection(self.ops, timeout=5)
         try:
-            connection.request("GET", "/plugins")
+            connection.request("GET", path)
             told: dict[str, Any] = msgspec.json.decode(connection.getresponse().read())
             return told
         except (OSError, msgspec.MsgspecError, http.client.HTTPException):
--- a/harrieryoke/log.py
+++ b/harrieryoke/log.py
@@ -15,8 +15,9 @@
         self.second = 0
         self.totals: dict[str, int] = {}
 
-    def __call__(self, kind: str, text: str = "") -> None:
-        """One line, unless this kind has had its lines of this second; what was left out is counted."""
+    def __call__(self, kind: str, text: str = "", **fields: object) -> None:
+        """One line, unless this kind has had its lines of this second; what was left out is counted. `fields`
+        are for whoever reads by machine; here they come behind the text."""
         now = time.time()
         if int(now) != self.second:
             for missed, count in self.counts.items():
@@ -26,8 +27,11 @@
         self.totals[kind] = self.totals.get(kind, 0) + 1
         self.counts[kind] = self.counts.get(kind, 0) + 1
         if self.counts[kind] <= self.lines_per_s:
-            self.put(now, kind, text)
+            self.put(now, kind, text, fields)
 
-    def put(self, now: float, kind: str, text: str) -> None:
-        stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}"
-        print(f"{stamp} {self.name} {kind} {text}".rstrip(), file=sys.stderr, flush=True)
+    def stamp(self, now: float, format: str = "%H:%M:%S") -> str:
+        return time.strftime(format, time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}"
+
+    def put(self, now: float, kind: str, text: str, fields: dict[str, object] | None = None) -> None:
+        told = "".join(f" {key}={value}" for key, value in (fields or {}).items())
+        print(f"{self.stamp(now)} {self.name} {kind} {text}{told}".rstrip(), file=sys.stderr, flush=True)
--- a/harrieryoke/operator_file.py
+++ b/harrieryoke/operator_file.py
@@ -25,6 +25,7 @@
 from .parts import Parts
 from .plugins.gate import PluginGate
 from .plugins.settings import PluginError, PluginsSettings
+from .structured import FORMATS, LogSettings, StructuredLog
 
 
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -34,6 +35,7 @@
     plugins: PluginsSettings | None = None
     door: DoorSettings | None = None
     ops: OpsSettings | None = None
+    log: LogSettings | None = None
     asyncapi: str | None = None  # a document that adds triggers
     limits: dict[str, float] = {}
 
@@ -53,6 +55,12 @@
             except DoorError as error:
                 raise ConfigError(str(error)) from None
 
+        if self.log is not None and self.log.format not in FORMATS:
+            raise ConfigError(f"log.format: one of {', '.join(FORMATS)} is wanted, not {self.log.format!r}")
+
+    def make_log(self, name: str, lines_per_s: int) -> Log:
+        return Log(name, lines_per_s) if self.log is None else StructuredLog(name, lines_per_s, self.log)
+
     def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
               answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]]) -> Parts:  # fmt: skip
         """What the file turns on, made ready. Plug-ins are loaded."""
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -61,6 +61,8 @@
 
     limits: dict[str, float]
 
+    def make_log(self, name: str, lines_per_s: int) -> Log: ...
+
     def check(self, settings: i.Settings, limits: Limits) -> None: ...
 
     def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
--- a/harrieryoke/plugins/bench.py
+++ b/harrieryoke/plugins/bench.py
@@ -34,7 +34,7 @@
 
 
 class Quiet(Log):
-    def put(self, now: float, kind: str, text: str) -> None:
+    def put(self, now: float, kind: str, text: str, fields: dict[str, object] | None = None) -> None:
         pass
 
 
--- a/harrieryoke/plugins/gate.py
+++ b/harrieryoke/plugins/gate.py
@@ -386,7 +386,7 @@
             plugin.slot.result(m.instance.number, m.fault or fault is not None)
         if m.fault or fault:
             kind, text = (m.why, m.text) if fault is None else (fault.kind, str(fault))
-            self.log("plugin-failed", f"{plugin.slot.plugin} {m.ask.hook}: {kind}: {text[:200]}")
+            self.log("plugin-failed", text[:200], plugin=plugin.slot.plugin, hook=m.ask.hook, fault=kind)
         now = self.clock()
         match m.ask.about:
             case (Passing() as passing, Stop() as stop):
--- a/harrieryoke/plugins/instance.py
+++ b/harrieryoke/plugins/instance.py
@@ -270,7 +270,7 @@
             after = now_ms()
             self.breaker.bad(after)
             if self.breaker.state == "open":
-                self.log("plugin-out", f"{self.name}: {fault.kind}; for {self.breaker.pause:.0f} ms")
+                self.log("plugin-out", self.name, fault=fault.kind, for_ms=round(self.breaker.pause))
             return Heard(self, ask, why=fault.kind, text=str(fault), fault=True)
         self.breaker.good(now_ms())
         self.restarts.served()
@@ -287,7 +287,7 @@
             answer = self.worker.ask(message, by)
             for line in answer.get("log") or ():
                 if self.lines.take(now):
-                    self.log("plugin-says", f"{self.package.manifest.name}: {str(line)[:300]!r}")
+                    self.log("plugin-says", repr(str(line)[:300]), plugin=self.package.manifest.name)
             if "fault" in answer:
                 raise Fault(*self.fault_in(answer))
             try:
--- a/harrieryoke/serve.py
+++ b/harrieryoke/serve.py
@@ -34,7 +34,8 @@
     """Until SIGTERM; the exit code."""
     try:
         config = load_config(operator_path)
-        log = Log(config.name, config.limits.log_lines_per_s)
+        make = Log if config.operator is None else config.operator.make_log
+        log = make(config.name, config.limits.log_lines_per_s)
         return Service(config, log, lambda: load_config(operator_path)).run()
     except ConfigError as error:
         print(f"harrieryoke: configuration: {error}", file=sys.stderr)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -68,6 +68,16 @@
         expect broker acked 1""", operator=operator)  # fmt: skip
 
 
+def test_the_log_is_json_where_the_operator_wants_it(tmp_path: Path) -> None:
+    (tmp_path / "hooks.star").write_text("def on_request(r):\n    fail('no')")
+    operator = '[log]\nformat = "json"\n' + HOOK.format(default="admit")
+    log = run(tmp_path, SERVED + "\nwait plugin-failed", operator=operator)
+    lines = [json.loads(line) for line in log.splitlines()]
+    (failed,) = [line for line in lines if line["event"] == "plugin-failed"]
+    assert failed["plugin"] == "hooks" and failed["fault"] == "raised" and failed["invoker"] == "n0"
+    assert all(line["at"].endswith("Z") and line["level"] == "info" for line in lines)
+
+
 def test_the_operators_http_is_what_its_description_says(tmp_path: Path) -> None:
     free = listener()
     ops = where(free)
@@ -161,6 +171,7 @@
     ({"settings": SETTINGS | {"ceilings": {"open-cap": "many"}}}, "", "settings.ceilings:"),
     ({"limits": {"sockets": 3}}, "", "limits.sockets:"), ({"limits": {"sockets": "x"}}, "", "limits.sockets"),
     ({}, "[limits]\nno_such = 3", "limits.no_such:"), ({}, "[mqtt]\nbrokers = 1", "brokers"),
+    ({}, '[log]\nformat = "xml"', "log.format:"),
     ({}, '[mqtt]\nbroker = "x"', "mqtt.broker:"), ({}, '[mqtt]\nbroker = "127.0.0.1:1"', "mqtt.trigger:"),
     ({}, TEMPLATE.replace('class = "harvest-log"', 'class = "honey"'), r"mqtt.trigger\[0\].class:"),
     ({}, TEMPLATE.replace('"json reading"', '"guess"'), r"mqtt.trigger\[0\].key:"),
