--- a/harrieryoke/structured.py
+++ b/harrieryoke/structured.py
@@ -23,7 +23,7 @@
 
 
 class StructuredLog(Log):
-    """One event a line: `at` (ISO, UTC), `invoker`, `event` (the kind), `text`, and the fields of its kind."""
+    """One event a line: `at` (ISO, UTC), `invoker`, `event` (the kind), `text`, and its fields."""
 
     def __init__(self, name: str, lines_per_s: int, told: LogSettings) -> None:
         super().__init__(name, lines_per_s)
@@ -36,9 +36,7 @@
             invoker=name,
         )
 
-    def put(
-        self, now: float, kind: str, text: str, fields: dict[str, object] | None = None
-    ) -> None:
+    def put(self, now: float, kind: str, text: str, fields: dict[str, object] | None = None) -> None:
         stamp = self.stamp(now, "%Y-%m-%dT%H:%M:%S") + "Z"
         told = {"text": text} if text else {}
         self.logger.info(kind, at=stamp, **told, **(fields or {}))
