Let who returns early take no place at the door, and prove its hard cases on a clock of the tests

A client that was told to come later and came at once could push out one that had waited, since it was known by then. It is now let in only where nobody waits; among equals the newcomer is the victim. Tests play steps of the clock, hosts gone for 3 s, a withdrawal during the hand-over, and a flood that comes and goes every half second; loops in tests are nested, since one loop of 10^9 could end within the load's 10 s.

--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -170,7 +170,10 @@
         cost = self.costs[call.class_index]
         item = Item(call, tenant, client, cost, kind.worth / cost, call.due, first)
         each = Waiting(call, front, item)
-        late = not self.limit.room() and not first and now + self.wait_for(tenant) > self.leaves_at(call)
+        # who was told to come later and comes now takes no place from those that wait
+        early = self.calendar.waits((tenant, client), now)
+        late = early or now + self.wait_for(tenant) > self.leaves_at(call)
+        late = late and not first and not self.limit.room()
         if late or self.leaves_at(call) <= now:
             # it can't make its time: it leaves at once
             self.counts["hopeless"] += 1
--- a/harrieryoke/door/decide/calendar.py
+++ b/harrieryoke/door/decide/calendar.py
@@ -94,6 +94,11 @@
         self.counts["kept" if kept else "lapsed"] += 1
         return kept
 
+    def waits(self, client: Hashable, now: float) -> bool:
+        """Whether the client was told to stay away until later than now."""
+        held = self.promises.get(client)
+        return held is not None and now < held.at - self.early_ms
+
     def forget(self, client: Hashable, tenant: str) -> None:
         held = self.promises.pop(client)
         left = self.days.get((tenant, held.day), 0.0) - held.cost
--- a/harrieryoke/door/decide/fair.py
+++ b/harrieryoke/door/decide/fair.py
@@ -119,7 +119,7 @@
         worst = max(loads, key=loads.__getitem__)
         held = [i for i in self.items.values() if i.tenant == worst and not i.first]
         if worst == newcomer.tenant:
-            held.append(newcomer)
+            held.insert(0, newcomer)  # among equals the newcomer leaves, not one that has waited
         # of its busiest client: one that floods pushes out its own
         counts: dict[str, int] = {}
         for each in held:
--- a/harrieryoke/lab/clients.py
+++ b/harrieryoke/lab/clients.py
@@ -29,6 +29,7 @@
     backoff: float | None = None
     lost: bool = False  # its connection ended
     hinted: bool = False  # it is a return at the time that was told
+    early: bool = False  # it is a return at half of that time
     again: Callable[[Sent], None] | None = None
 
 
@@ -114,6 +115,7 @@
         self.where, self.rate, self.tenants, self.rng = where, rate, tenants, rng
         self.calls: list[Sent] = []
         self.connections: list[Connection] = []
+        self.hasty = False  # every fourth client returns at half of its time
         self.returns = False  # who is refused with advice stays away until then, and returns once
         self.away: dict[str, float] = {}
         self.stayed = 0  # calls that were not sent since their client stayed away
@@ -161,7 +163,9 @@
 
     def later(self, refused: Sent, source: str, function: str, key: str | None) -> None:
         """A client that does as it was told."""
-        self.away[source] = now_ms() + (refused.backoff or 0.0)
+        early = self.hasty and int(source.rpartition(".")[2]) % 4 == 0
+        wait = (refused.backoff or 0.0) * (0.5 if early else 1.0)
+        self.away[source] = now_ms() + wait
 
         def come() -> None:
             call = Sent(
@@ -170,12 +174,13 @@
                 refused.kind,
                 now_ms(),
                 refused.budget,
-                hinted=True,
+                hinted=not early,
+                early=early,
             )
             self.calls.append(call)
             self.connection(source).send(call, function, key, b"kg 41")
 
-        gevent.spawn_later((refused.backoff or 0.0) / 1000, come)
+        gevent.spawn_later(wait / 1000, come)
 
     def connection(self, source: str) -> Connection:
         self.connections = [c for c in self.connections if not c.over]
--- a/harrieryoke/lab/door.py
+++ b/harrieryoke/lab/door.py
@@ -19,6 +19,7 @@
     "quiet-door": (False, "[door]\n"),
     "flood-today": (True, ""),
     "flood-door": (True, "[door]\n"),
+    "flood-door-hasty": (True, "[door]\n"),
     "two-floods-door": (True, "[door]\n"),
     "structures": (False, ""),
 }
@@ -44,6 +45,7 @@
     world = World(
         folder, seed, rate * sum(t.part for t in chosen), operator, HOSTS, chosen, SHAPE, MOST_BACKOFF
     )
+    world.load.hasty = case.endswith("-hasty")
     world.load.returns = not two  # both are to be backlogged all the time
     world.run(seconds, 0.0)
     status = world.status("/door")
@@ -51,7 +53,7 @@
     calls = world.load.calls
     small = [c for c in calls if c.tenant != FLOODS]
     took = sorted(c.answered - c.sent for c in small if c.how == "served")
-    hinted = [c for c in calls if c.hinted]
+    hinted, early = [c for c in calls if c.hinted], [c for c in calls if c.early]
     shares = {t.name: audit.served_share(of(calls, t.name), lambda c: True) for t in TENANTS}
     figures = world.figures() | {
         "case": case,
@@ -59,6 +61,12 @@
         "repeats": audit.repeats(world.arrived),
         "served_by_tenant": {name: round(share, 4) for name, share in shares.items()},
         "share_error_max": round(share_error(calls), 4) if two else None,
+        "early": len(early),
+        "early_gain": round(
+            audit.served_share(early, lambda c: True) - audit.served_share(hinted, lambda c: True), 4
+        )
+        if early and hinted
+        else None,
         "hint_short": round(sum(c.how == "refused" for c in hinted) / len(hinted), 4) if hinted else None,
         "stayed_away": world.load.stayed,
         "small_tenants_served": round(audit.served_share(small, lambda c: True), 4),
--- a/harrieryoke/lab/plugins.py
+++ b/harrieryoke/lab/plugins.py
@@ -16,7 +16,7 @@
 from .world import World, children
 
 BOUND = "coop-sahel"  # the tenant whose calls the plug-ins see
-LOOP = "    for i in range(1000000000):\n        pass\n"
+LOOP = "    for i in range(1000000000):\n        for j in range(1000000000):\n            pass\n"
 OK = "def on_request(r):\n    return None\n"
 WAT = """(module
   (import "harrieryoke" "avoid" (func $avoid (param i32 i32)))
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,7 +11,7 @@
 from harrieryoke.checks import ConfigError
 from harrieryoke.core.actor import now_ms
 from harrieryoke.core.records import Call
-from harrieryoke.door.actor import DoorActor
+from harrieryoke.door.actor import DoorActor, Ended, Entering, Left
 from harrieryoke.door.settings import DoorSettings
 from harrieryoke.limits import Limits
 from harrieryoke.plugins import bench
@@ -168,6 +168,103 @@
     assert len(core.held) == 1 + waiting  # a door that ends hands on what waits
 
 
+class Clocked:
+    """A door without a greenlet, on a clock of the test's own."""
+
+    def __init__(self, told: DoorSettings) -> None:
+        self.now, limits, log = 1e12, Limits(), bench.Quiet()
+        self.core = Held(limits, log)
+        self.door = DoorActor(told, bench.SETTINGS, self.core, limits, log, 1, lambda: self.now)
+        self.core.set_door(self.door)
+        self.callers: dict[Call, bench.Caller] = {}
+
+    def call(self, client: str = "c", tenant: int = 0, budget: float = 4000.0) -> Call:
+        rid, due = f"{len(self.callers):016x}", self.now + budget
+        made = Call(rid, 0, "0" * 16, due, taken=self.now, tenant=tenant, client=client)
+        self.callers[made] = bench.Caller()
+        self.door.receive(Entering(made, self.callers[made]))
+        return made
+
+    def end(self, call: Call, how: str = "served") -> None:
+        self.core.held.remove(call)
+        self.callers[call].answers += 1
+        self.door.receive(Ended(call, how))
+
+    def passes(self, ms: float) -> None:
+        self.now += ms
+        self.door.expire(self.now)
+        self.door.pump(self.now)
+
+    def answers(self) -> set[int]:
+        return {caller.answers for caller in self.callers.values()}
+
+
+def test_steps_of_the_clock_lose_no_call_and_answer_none_twice() -> None:
+    rig = Clocked(DoorSettings(queue=50, inside_first=2, inside_least=1, inside_most=4))
+    for step in (0.0, -5000.0, 5000.0, 5000.0, -5000.0):
+        rig.now += step
+        for _ in range(6):
+            rig.call()
+        rig.passes(10.0)
+        while rig.core.held:
+            rig.end(rig.core.held[0])
+    for _ in range(4):
+        rig.passes(4000.0)
+        while rig.core.held:
+            rig.end(rig.core.held[0])
+    assert not rig.door.waiting and not rig.door.inside and rig.answers() == {1}
+
+
+def test_after_all_hosts_were_gone_for_3_s_the_door_lets_as_many_in_as_before() -> None:
+    rig = Clocked(DoorSettings(inside_first=40, inside_least=2, inside_most=400))
+    for _ in range(300):  # a steady day
+        rig.call()
+        rig.passes(20.0)
+        while len(rig.core.held) > 10:
+            rig.end(rig.core.held[0])
+    before = rig.door.limit.limit
+    for _ in range(60):  # nothing ends any more
+        rig.call()
+        rig.passes(50.0)
+    while rig.core.held:
+        rig.end(rig.core.held[0], "failed")
+    assert rig.door.limit.limit >= before and rig.door.limit.stalls >= 1
+    for _ in range(100):
+        rig.call()
+        rig.passes(20.0)
+        while rig.core.held:
+            rig.end(rig.core.held[0])
+    assert rig.answers() == {1} and rig.door.limit.limit >= before
+
+
+def test_a_call_withdrawn_while_it_is_handed_over_is_the_modules_to_drop() -> None:
+    rig = Clocked(DoorSettings(inside_first=1, inside_least=1, inside_most=1))
+    first, second = rig.call(), rig.call()
+    dropped: list[Call] = []
+    rig.core.drop = lambda call: bool(dropped.append(call)) or True  # type: ignore[method-assign, func-returns-value]
+    rig.door.receive(Left(first))
+    rig.door.receive(Left(second))
+    assert dropped == [first] and list(rig.door.inside) == [first] and not rig.door.waiting
+    rig.end(first, "withdrawn")
+    assert not rig.door.inside and rig.callers[second].answers == 0
+
+
+def test_who_ignores_the_advice_gains_nothing_and_who_keeps_to_it_goes_first() -> None:
+    rig = Clocked(DoorSettings(queue=4, inside_first=1, inside_least=1, inside_most=1))
+    rig.call("busy")
+    for n in range(4):
+        rig.call(f"other{n}")
+    for client in ("honest", "hasty"):
+        rig.call(client)
+    promises = {key[1]: promise.at for key, promise in rig.door.calendar.promises.items()}  # type: ignore[index]
+    hasty_again = rig.call("hasty")
+    assert rig.callers[hasty_again].answers == 1 and rig.door.calendar.counts["early"] >= 1
+    rig.now = promises["honest"]
+    back = rig.call("honest")
+    rig.end(rig.core.held[0])
+    assert rig.core.held == [back]  # ahead of all that wait
+
+
 @pytest.mark.parametrize(
     ("told", "key"),
     [
--- a/tests/test_door_decide.py
+++ b/tests/test_door_decide.py
@@ -80,6 +80,26 @@
     assert 0.3 < served["kef"] < 0.6  # the idle shares are its own to use
 
 
+def test_a_flood_that_begins_and_ends_every_half_second_takes_nothing_either() -> None:
+    rng, queue, got, asked, key = (
+        random.Random(5),
+        FairQueue(SHARES, 500, 7),
+        Counter[str](),
+        Counter[str](),
+        0,
+    )
+    for n in range(20_000):  # a round is a millisecond, and one call is served in it
+        for tenant, share in SHARES.items():
+            rate = share * (10 if tenant == "kef" and n // 500 % 2 else 0.6)
+            for _ in range(int(rate) + (rng.random() < rate % 1)):
+                key += 1
+                asked[tenant] += 1
+                queue.add(item(key, tenant, f"c{rng.randrange(5)}", due=n + 500.0), float(n))
+        if (taken := queue.take()) is not None:
+            got[taken.tenant] += 1
+    assert all(got[t] > 0.97 * asked[t] for t in SHARES if t != "kef")
+
+
 def test_a_tenant_long_silent_has_saved_up_nothing() -> None:
     queue = FairQueue({"a": 0.5, "b": 0.5}, 100_000, 1)
     for n in range(5000):
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -44,7 +44,7 @@
 
 
 SERVED = served(1)
-LOOP = "    for i in range(1000000000):\n        pass\n"
+LOOP = "    for i in range(1000000000):\n        for j in range(1000000000):\n            pass\n"
 # case of the laboratory -> the fault it must be told as; None where it breaks nothing
 FAULTS = {
     "loops": "timeout",
@@ -89,7 +89,7 @@
 @pytest.mark.parametrize(
     ("name", "text", "words"),
     [
-        ("p.star", "for i in range(1000000000):\n    pass\n", "timeout"),
+        ("p.star", "for i in range(1000000000):\n    for j in range(1000000000):\n        pass\n", "timeout"),
         ("p.wat", '(module (memory (export "memory") 1) (func $s (loop (br 0))) (start $s))', "fuel"),
         ("p.wat", "(module)", "memory"),
         ("p.star", "def on_request(", "raised"),
@@ -132,8 +132,7 @@
 
 def test_a_client_that_leaves_while_a_hook_hangs_is_sent_nowhere(tmp_path: Path) -> None:
     (tmp_path / "p.star").write_text(
-        "def on_request(r):\n    if r['lanes'] == 8:\n        log('asked')\n"
-        + ("        for i in range(1000000000):\n            pass\n")
+        "def on_request(r):\n    if r['lanes'] == 8:\n        log('asked')\n" + HANG
     )
     budgets = "[plugins]\nall_ms = 900\n[plugins.budgets]\ncall_ms = 500\n"
     run(
@@ -167,10 +166,7 @@
 
 
 def test_a_keyed_call_sent_again_while_its_hook_times_out_keeps_its_key(tmp_path: Path) -> None:
-    (tmp_path / "p.star").write_text(
-        "def on_request(r):\n    if r['id'].endswith('2'):\n"
-        + ("        for i in range(1000000000):\n            pass\n")
-    )
+    (tmp_path / "p.star").write_text("def on_request(r):\n    if r['id'].endswith('2'):\n" + HANG)
     run(
         tmp_path,
         """
@@ -357,7 +353,7 @@
     ("swapped", "last", "serving"),
     [
         ("def on_request(", "stays", "1"),
-        ("for i in range(1000000000):\n    pass\n", "timeout", "1"),
+        ("for i in range(1000000000):\n    for j in range(1000000000):\n        pass\n", "timeout", "1"),
         ("def on_request(r):\n    fail('no')\n", "trial calls", "1"),
         (STATE + "# newer\n", "in service", "2"),
     ],
@@ -401,7 +397,11 @@
     scene = Scene(tmp_path, operator=QUICK + ONE.format(path="plug") + f'[ops]\nlisten = "{ops}"\n')
     try:
         scene.play(SERVED)
-        for code, words in (("", "no carry hook"), ("def carry(layout):\n    fail('broken')\n", "broken")):
+        for code, words in (
+            ("", "no carry hook"),
+            ("def carry(layout):\n    fail('broken')\n", "broken"),
+            ("def carry(layout):\n" + LOOP, "timeout"),
+        ):
             write(2, STATE + code)
             scene.play("send node HUP")
             until(lambda words=words: words in first(scene, ops)["last_swap"])
@@ -448,6 +448,31 @@
         scene.end()
 
 
+@pytest.mark.parametrize("hook", ["on_timer()", "on_hosts(hosts)", "on_outcome(r, o)"])
+def test_a_loop_in_a_hook_that_watches_costs_no_call_its_answer(hook: str, tmp_path: Path) -> None:
+    (tmp_path / "p.star").write_text(f"def on_request(r):\n    return None\ndef {hook}:\n" + LOOP)
+    scene, _ = scene_with(tmp_path, (tmp_path / "p.star").read_text())
+    try:
+        scene.play(SERVED + "\nwait plugin-failed")
+        scene.play(served(2))
+    finally:
+        scene.end()
+
+
+def test_an_engine_killed_in_the_middle_of_a_hook_leaves_the_default(tmp_path: Path) -> None:
+    more = "[plugins]\nall_ms = 3000\n[plugins.budgets]\ncall_ms = 2000\n"
+    scene, ops = scene_with(tmp_path, "def on_request(r):\n" + LOOP, more)
+    try:
+        scene.play("send c1 call 1 weight-read body=x budget=4000")
+        until(lambda: told(scene, ops)["open"] == 1)
+        (worker,) = children(scene.process.pid)
+        os.kill(worker, signal.SIGKILL)
+        scene.play("expect h1 request body=x\nsend h1 ok body=y\nexpect c1 1 result y")
+        assert told(scene, ops)["by_default"] == {"killed": 1}
+    finally:
+        scene.end()
+
+
 def test_a_process_of_a_plugin_ends_with_its_invoker_even_in_a_loop(tmp_path: Path) -> None:
     (tmp_path / "p.star").write_text("def on_request(r):\n" + LOOP)
     scene = Scene(tmp_path, operator="[plugins.budgets]\ncall_ms = 2000\n" + ONE.format(path="p.star"))
