Share the records that the gate and the door both had

Taken and Withdrawn of the core serve both, beside Ended and Asked, and one wait for an actor's answer to an operator.

--- a/harrieryoke/core/actor.py
+++ b/harrieryoke/core/actor.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import gevent
-from gevent.event import Event
+from gevent.event import AsyncResult, Event
 
 from ..log import Log
 
@@ -38,6 +38,15 @@
     return gevent.spawn(guarded)
 
 
+def waited(told: AsyncResult, timeout_ms: float) -> dict[str, Any]:
+    """What an actor tells an operator, or nothing where it takes too long."""
+    try:
+        answer: dict[str, Any] = told.get(timeout=timeout_ms / 1000)
+    except gevent.Timeout:
+        return {}
+    return answer
+
+
 class Actor:
     """`tell` never blocks and says whether the message was taken; `push` waits for room."""
 
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from ..interface import Found, LoadReport, Outcome, WorkersListed
 
@@ -161,6 +161,21 @@
     tell: Callable[[dict[str, int]], object]
 
 
+@dataclass(slots=True)
+class Ended:
+    """A call has its final answer, or its client has left."""
+
+    call: Call
+    how: str
+
+
+@dataclass(slots=True)
+class Asked:
+    """An operator asks a part for what it can tell; `tell` gets a copy."""
+
+    tell: Callable[[dict[str, Any]], object]
+
+
 @dataclass(slots=True)
 class Stopping:
     """The invoker stops: all that was taken is answered before `by`."""
--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -8,13 +8,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import gevent
 from gevent.event import AsyncResult
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms
+from ..core.actor import Actor, now_ms, waited
 from ..core.module import ModuleActor
-from ..core.records import Call, Front, Stopping
+from ..core.records import Asked, Call, Ended, Front, Stopping, Taken, Withdrawn
 from ..core.wheel import Wheel
 from ..limits import Limits
 from ..log import Log
@@ -44,28 +43,6 @@
     cost: float
 
 
-@dataclass(slots=True)
-class Entering:
-    call: Call
-    front: Front
-
-
-@dataclass(slots=True)
-class Left:
-    call: Call
-
-
-@dataclass(slots=True)
-class Ended:
-    call: Call
-    how: str
-
-
-@dataclass(slots=True)
-class Status:
-    tell: Callable[[dict[str, Any]], object]
-
-
 class DoorActor(Actor):
     """Owns what waits, what is inside, and the promises. Each call that comes leaves it once: handed on,
     refused or withdrawn; a call that was handed on is the module's to answer."""
@@ -98,10 +75,10 @@
 
     def offer(self, call: Call, front: Front) -> bool:
         # guards the call against a door that has ended: it goes straight on
-        return self.push(Entering(call, front)) or self.core.admit(call, front)
+        return self.push(Taken(call, front)) or self.core.admit(call, front)
 
     def withdraw(self, call: Call) -> bool:
-        return self.push(Left(call)) or self.core.drop(call)
+        return self.push(Withdrawn(call)) or self.core.drop(call)
 
     def ended(self, call: Call, how: str) -> None:
         """What was never handed on here is passed over."""
@@ -124,19 +101,19 @@
         for each in waiting:
             self.core.admit(each.call, each.front)
         for message in list(self.box):
-            if isinstance(message, Entering):
+            if isinstance(message, Taken):
                 self.core.admit(message.call, message.front)
-            elif isinstance(message, Left):
+            elif isinstance(message, Withdrawn):
                 self.core.drop(message.call)
 
     def receive(self, message: Any) -> None:
         now = self.clock()
         match message:
-            case Entering(call, front):
+            case Taken(call, front):
                 self.enter(call, front, now)
             case Ended(call, how):
                 self.out(call, how, now)
-            case Left(call):
+            case Withdrawn(call):
                 if self.remove(call) is None:
                     self.core.drop(call)
                 else:
@@ -146,7 +123,7 @@
                 self.stop_at = by - STOP_MS
                 for call in self.waiting:
                     self.times.schedule(call, self.leaves_at(call))
-            case Status(tell):
+            case Asked(tell):
                 tell(self.status())
         if not self.box:
             self.pump(now)
@@ -252,12 +229,8 @@
 
     def ask_status(self, timeout_ms: float) -> dict[str, Any]:
         told: AsyncResult = AsyncResult()
-        self.push(Status(told.set))
-        try:
-            answer: dict[str, Any] = told.get(timeout=timeout_ms / 1000)
-        except gevent.Timeout:
-            return {}
-        return answer
+        self.push(Asked(told.set))
+        return waited(told, timeout_ms)
 
     def status(self) -> dict[str, Any]:
         waiting = {name: t.waiting for name, t in self.queue.tenants.items() if name != NO_TENANT}
--- a/harrieryoke/plugins/gate.py
+++ b/harrieryoke/plugins/gate.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import gevent
 from gevent.event import AsyncResult
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, now_ms, spawn, waited
 from ..core.module import ModuleActor
-from ..core.records import Call, Front, Listed, Stopping, Wished
+from ..core.records import Asked, Call, Ended, Front, Listed, Stopping, Taken, Wished, Withdrawn
 from ..limits import Limits
 from ..log import Log
 from .decide import abi, versions
@@ -54,23 +53,6 @@
     asked_at: float = 0.0
 
 
-@dataclass(slots=True)
-class Offered:
-    call: Call
-    front: Front
-
-
-@dataclass(slots=True)
-class Left:
-    call: Call
-
-
-@dataclass(slots=True)
-class Ended:
-    call: Call
-    how: str
-
-
 @dataclass(slots=True)
 class Swap:
     """New versions are to be read: of the plug-in of that name, or of all. `tell` hears what was begun."""
@@ -94,11 +76,6 @@
     reason: str | None
 
 
-@dataclass(slots=True)
-class Status:
-    tell: Callable[[dict[str, Any]], object]
-
-
 class PluginGate(Actor):
     """Owns the calls on their way past plug-ins, the versions, the wishes and the counts. It never waits for
     a plug-in: instances answer into its mailbox."""
@@ -199,11 +176,11 @@
     def offer(self, call: Call, front: Front) -> bool:
         if any(self.sees(plugin, call) for plugin in self.plugins):
             # guards the call against a gate that has ended: it goes on without advice
-            return self.push(Offered(call, front)) or self.core.enter(call, front)
+            return self.push(Taken(call, front)) or self.core.enter(call, front)
         return self.core.enter(call, front)
 
     def withdraw(self, call: Call) -> bool:
-        return self.push(Left(call)) or self.core.leave(call)
+        return self.push(Withdrawn(call)) or self.core.leave(call)
 
     def ended(self, call: Call, how: str) -> None:
         if call.seen and not self.tell(Ended(call, how)):
@@ -236,9 +213,9 @@
         for passing in waiting:
             self.core.enter(passing.call, passing.front)
         for message in list(self.box):
-            if isinstance(message, Offered):
+            if isinstance(message, Taken):
                 self.core.enter(message.call, message.front)
-            elif isinstance(message, Left):
+            elif isinstance(message, Withdrawn):
                 self.core.leave(message.call)
         for plugin in self.plugins:
             for instance in plugin.instances.values():
@@ -246,13 +223,13 @@
 
     def receive(self, message: Any) -> None:
         match message:
-            case Offered(call, front):
+            case Taken(call, front):
                 self.offered(call, front)
             case Heard():
                 self.heard(message)
             case Ended(call, how):
                 self.outcome(call, how)
-            case Left(call):
+            case Withdrawn(call):
                 self.left(call)
             case Listed():
                 self.list_changed(message)
@@ -266,7 +243,7 @@
                 self.gave(instance, values, number)
             case Carried(instance, fault):
                 self.carried(instance, fault)
-            case Status(tell):
+            case Asked(tell):
                 tell(self.status())
             case Stopping():
                 for plugin in self.plugins:
@@ -581,7 +558,7 @@
 
     def ask_status(self, timeout_ms: float) -> dict[str, Any]:
         told: AsyncResult = AsyncResult()
-        self.push(Status(told.set))
+        self.push(Asked(told.set))
         return waited(told, timeout_ms)
 
     def status(self) -> dict[str, Any]:
@@ -614,13 +591,5 @@
         }
 
 
-def waited(told: AsyncResult, timeout_ms: float) -> dict[str, Any]:
-    try:
-        answer: dict[str, Any] = told.get(timeout=timeout_ms / 1000)
-    except gevent.Timeout:
-        return {}
-    return answer
-
-
 def front_of(call: Call) -> str:
     return MQTT if call.topic else PLATFORM
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,8 +10,8 @@
 
 from harrieryoke.checks import ConfigError
 from harrieryoke.core.actor import now_ms
-from harrieryoke.core.records import Call
-from harrieryoke.door.actor import DoorActor, Ended, Entering, Left
+from harrieryoke.core.records import Call, Ended, Taken, Withdrawn
+from harrieryoke.door.actor import DoorActor
 from harrieryoke.door.settings import DoorSettings
 from harrieryoke.limits import Limits
 from harrieryoke.plugins import bench
@@ -182,7 +182,7 @@
         rid, due = f"{len(self.callers):016x}", self.now + budget
         made = Call(rid, 0, "0" * 16, due, taken=self.now, tenant=tenant, client=client)
         self.callers[made] = bench.Caller()
-        self.door.receive(Entering(made, self.callers[made]))
+        self.door.receive(Taken(made, self.callers[made]))
         return made
 
     def end(self, call: Call, how: str = "served") -> None:
@@ -242,8 +242,8 @@
     first, second = rig.call(), rig.call()
     dropped: list[Call] = []
     rig.core.drop = lambda call: bool(dropped.append(call)) or True  # type: ignore[method-assign, func-returns-value]
-    rig.door.receive(Left(first))
-    rig.door.receive(Left(second))
+    rig.door.receive(Withdrawn(first))
+    rig.door.receive(Withdrawn(second))
     assert dropped == [first] and list(rig.door.inside) == [first] and not rig.door.waiting
     rig.end(first, "withdrawn")
     assert not rig.door.inside and rig.callers[second].answers == 0
