--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -112,11 +112,9 @@
         grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
         return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
 
-    def has_room(self, w: Worker, r: Request, usual: float) -> bool:
-        """Own attempts within the worker's limit, no full answer lately, and time enough left."""
-        free = len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
-        # what would be given up at work feeds the jam of a jammed worker
-        return free and r.event.due - self.now >= usual
+    def has_room(self, w: Worker, r: Request) -> bool:
+        """Own attempts within the worker's limit, and no full answer lately."""
+        return len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
 
     def within_budget(self, w: Worker) -> bool:
         """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
@@ -354,12 +352,11 @@
 
     def value(self, r: Request, f: Function) -> float:
         """Worth for each unit of work; late and over-share requests count for what they still earn."""
-        worth = r.kind.worth * (self.s.over_share_worth if r.over else 1.0)
-        worth *= r.kind.late_worth if self.late(f, r) else 1.0
+        worth = r.worth * (r.kind.late_worth if self.now + f.usual / 2 > r.aimed else 1.0)
         return worth if self.s.worth_by_work else worth / f.usual
 
     def late(self, f: Function, r: Request) -> bool:
-        return self.now + f.usual / 2 > r.arrived + min(r.kind.aim, r.event.wanted or r.kind.aim)
+        return self.now + f.usual / 2 > r.aimed
 
     def may_go(self, r: Request, w: Worker) -> bool:
         """Rule two: what may have run goes out again only as its class allows."""
@@ -377,8 +374,10 @@
         best, least, bias = None, (True, float("inf")), r.event.bias or {}
         for wid, w, copy in self.candidates(f, r):
             lanes, mine, draw = f.lanes * copy.count, f.mine.get(wid, 0), self.rng.random()
-            usual = self.usual_time(w)
-            if mine >= 3 * lanes or not self.has_room(w, r, usual) or not self.may_go(r, w):
+            if mine >= 3 * lanes or not self.has_room(w, r):
+                continue
+            usual = self.usual_time(w)  # what would be given up at work feeds the jam of a jammed worker
+            if r.event.due - self.now < usual or not self.may_go(r, w):
                 continue
             queue = max(0.0, mine + copy.others + 1 - lanes) / lanes
             busy = 1 + len(w.flying) + self.unseen * draw
@@ -439,9 +438,11 @@
             self.functions[e.function] = f
         # a gap in which nothing at all arrived is left out: a stall must not read as no demand
         f.memory, f.lanes, f.used = e.memory, max(1, e.lanes), self.now - self.stalled
-        r = self.requests[e.request] = Request(e, kind, self.now)
-        if bucket := self.allowances.get(e.tenant):  # a second deep, at least one call
-            r.over = not bucket.take(self.now, bucket.rate / 1000, max(1.0, bucket.rate))
+        aimed = self.now + min(kind.aim, e.wanted or kind.aim)
+        r = self.requests[e.request] = Request(e, kind, self.now, aimed, kind.worth)
+        bucket = self.allowances.get(e.tenant)  # a second deep, at least one call
+        if bucket and not bucket.take(self.now, bucket.rate / 1000, max(1.0, bucket.rate)):
+            r.worth *= self.s.over_share_worth
         self.hold(f, r)
 
     def fade(self, name: str) -> None:
@@ -468,8 +469,9 @@
         f, r = held
         if r.done or r.flying:
             return
-        usable = (self.usual_time(w) for w in self.workers.values() if self.usable(w))
-        if r.event.due - self.now < min(usable, default=float("inf")) or not (r.attempts or f.pending):
+        left = r.event.due - self.now
+        in_time = any(self.usual_time(w) <= left for w in self.workers.values() if self.usable(w))
+        if not in_time or not (r.attempts or f.pending):
             return self.end(r)
         self.later(4 * self.sweep, self.despair, held)
 
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -34,6 +34,8 @@
 )
 from .table import RequestTable
 
+LOADED = (i.Found.BEGAN_LOAD, i.Found.WAITED)
+
 
 class ModuleActor(Actor):
     """Owns the router, the request table, the timers and what it was told of the hosts' mailboxes."""
@@ -200,10 +202,14 @@
         """A task's end as the module hears it; the first OK is the request's answer."""
         task, took = m.task, max(0.0, now - m.task.sent)
         if isinstance(task, Order):
+            if self.door is not None and task.copies:
+                self.table.waited_for(task.function)
             return i.OrderEnded(task.worker, task.function, m.outcome, m.copies, took)
         if not isinstance(task, Attempt):
             return i.ProbeEnded(task.worker, m.outcome, took, m.report)
         entry = self.table.entries.get(task.request)
+        if entry is not None and (m.outcome is i.Outcome.MISS or m.found in LOADED):
+            entry.call.cold = True
         if entry is not None and m.outcome is i.Outcome.OK:
             self.table.serve(entry, m.body)
         return i.AttemptEnded(
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -30,6 +30,7 @@
     label: str | None = None  # for accounting
     seen: bool = False  # a plug-in's gate wants to hear of its end
     handed: bool = False  # the door wants to hear of its end
+    cold: bool = False  # it waited for a load: its time tells nothing of what the hosts carry
     client: str = ""  # who asks, as its front knows it
 
 
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -141,6 +141,12 @@
                 entry.may_have_run = entry.may_have_run or ended.outcome not in NEVER_RAN
         return ended
 
+    def waited_for(self, function: str) -> None:
+        """A load of it has ended: what is open and wants it has waited for that, not for a free host."""
+        for entry in self.entries.values():
+            if entry.call.function == function:
+                entry.call.cold = True
+
     def revoke(self, task: Task, outcome: i.Outcome) -> TaskEnded | None:
         """Ends a task from this side. One whose first byte was never written has never run."""
         port = self.tasks.get(task)
--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -143,7 +143,7 @@
     def enter(self, call: Call, front: Front, now: float) -> None:
         self.counts["came"] += 1
         tenant, client, kind = self.tenant(call), self.client(call), self.settings.classes[call.class_index]
-        first = self.calendar.returns((tenant, client), tenant, now)
+        first = self.calendar.returns((tenant, client), now)
         cost = self.costs[call.class_index]
         item = Item(call, tenant, client, cost, kind.worth / cost, call.due, first)
         each = Waiting(call, front, item)
@@ -181,9 +181,10 @@
         if (was := self.inside.pop(call, None)) is None:
             return
         took, kind = now - was.since, self.settings.classes[call.class_index]
-        self.limit.ended(now, took, kind.aim, how in ("served", "failed"))
+        # guards the limit against cold hosts and a slow store: a load's time is no sign of too many inside
+        self.limit.ended(now, took, kind.aim, how in ("served", "failed") and not call.cold)
         self.rate.ended(now, was.cost, bool(len(self.queue)))
-        if how == "served":
+        if how == "served" and not call.cold:
             self.costs[call.class_index] += 0.02 * (max(1.0, took) - self.costs[call.class_index])
 
     def remove(self, call: Call) -> Waiting | None:
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -116,7 +116,8 @@
     event: RequestArrived
     kind: RequestClass
     arrived: float
-    over: bool = False  # beyond its tenant's share
+    aimed: float  # an answer after this is late
+    worth: float  # what it earns in time; less where it is beyond its tenant's share
     attempts: int = 0
     flying: dict[int, int] = field(default_factory=dict)  # attempt -> worker
     ran: list[tuple[WorkerEntry, float]] = field(default_factory=list)  # where it may have run, and sent when
