--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -118,10 +118,12 @@
         """For how long nothing has come that is whole; None while something is open. The front reads this."""
         return None if self.open or self.box else now - self.used
 
-    def stale(self, now: float) -> bool:
-        """Guards the descriptors against clients that never ask, stop within a line, or never close."""
+    def stale(self, now: float, stepped: float) -> bool:
+        """Guards the descriptors against clients that never ask, stop within a line, or never close. What the
+        clock stepped over at `stepped` was no silence of theirs."""
         idle = self.asked and not self.begun
-        return (self.quiet(now) or 0.0) > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
+        quiet = min(self.quiet(now) or 0.0, now - stepped)
+        return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
 
     def unread(self) -> bool:
         """Guards against closing on a request that has come but was not read yet."""
@@ -302,14 +304,17 @@
             self.push(Accepted(sock, f"{peer[0]}:{peer[1]}"))
 
     def run(self) -> None:
-        swept = now_ms()
+        swept = stepped = now_ms()
         while not self.over:
             self.wait(self.limits.sweep_ms)
             self.work()
             now = now_ms()
             if not 0 <= now - swept < self.limits.sweep_ms:
+                # guards against a clock that steps ahead: all idle clients looked stale at once, and were
+                # closed with a request of theirs on its way
+                stepped = stepped if 0 <= now - swept < 4 * self.limits.sweep_ms else now
                 swept = now
-                for client in [c for c in self.clients if c.stale(now)]:
+                for client in [c for c in self.clients if c.stale(now, stepped)]:
                     self.dismiss(client)
 
     def dismiss(self, client: ClientActor) -> None:
