--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -25,6 +25,7 @@
     HostPort,
     Listed,
     Order,
+    Recorder,
     Stopping,
     Taken,
     Task,
@@ -46,6 +47,7 @@
         self.settings, self.seed, self.clock = settings, seed, clock
         self.gate: Gate | None = None  # plug-ins, where the operator has some
         self.door: Door | None = None  # fair queues, likewise
+        self.recorder: Recorder | None = None  # the ledger, likewise
         self.router = Router(settings, seed)
         self.table = RequestTable(settings, limits)
         self.ports: dict[int, HostPort] = {}
@@ -67,6 +69,8 @@
 
     def offer(self, call: Call, front: Front) -> bool:
         """A front's request; waits for room, so that a full mailbox slows the fronts instead of losing."""
+        if self.recorder is not None:
+            front = self.recorder.front_for(front)
         return self.enter(call, front) if self.gate is None else self.gate.offer(call, front)
 
     def enter(self, call: Call, front: Front) -> bool:
@@ -96,6 +100,11 @@
         self.gate = gate
         self.table.watchers.append(gate)
 
+    def set_recorder(self, recorder: Recorder) -> None:
+        """Before anything starts."""
+        self.recorder = recorder
+        self.table.watchers.append(recorder)
+
     def set_door(self, door: Door) -> None:
         """Before anything starts."""
         self.door = door
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -50,6 +50,13 @@
     def ended(self, call: Call, how: str) -> None: ...
 
 
+class Recorder(Watcher, Protocol):
+    """Keeps a record of each final answer, and may let an answer wait for it a little: then it stands in for
+    the call's front."""
+
+    def front_for(self, front: Front) -> Front: ...
+
+
 class Door(Watcher, Protocol):
     """What stands between the fronts and the module. It passes each call on once, unless it has answered it
     or its client has left."""
--- a/harrieryoke/lab/clients.py
+++ b/harrieryoke/lab/clients.py
@@ -123,6 +123,7 @@
         self.hasty = False  # every fourth client returns at half of its time
         self.returns = False  # who is refused with advice stays away until then, and returns once
         self.away: dict[str, float] = {}
+        self.unreachable = 0
         self.stayed = 0  # calls that were not sent since their client stayed away
 
     def run(self, seconds: float) -> None:
@@ -163,8 +164,13 @@
         key = f"k{self.rng.getrandbits(48):x}" if keyed else None
         if self.returns:
             call.again = lambda refused: self.later(refused, source, function, key)
+        try:
+            connection = self.connection(source)
+        except OSError:  # the invoker is down
+            self.unreachable += 1
+            return
         self.calls.append(call)
-        self.connection(source).send(call, function, key, b"kg 41")
+        connection.send(call, function, key, b"kg 41")
 
     def herd(self, count: int, within_ms: float) -> None:
         """So many clients, each at an address of its own, ask once within so many ms; who is told when to
--- a/harrieryoke/lab/experiments.py
+++ b/harrieryoke/lab/experiments.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-NAMES = ("plugins", "door", "rounds")
+NAMES = ("plugins", "door", "rounds", "ledger")
 AT_A_TIME = 2  # a case wants two or three cores: invoker, plug-in, and the emulated rest
 HOSTILE_ZERO = ("unanswered", "doubled", "late", "orders_over_budget", "sends_after_drain")
 
@@ -73,9 +73,14 @@
         return 2
     if name == "rounds":
         return rounds(seed, seconds, file)
-    from . import door, plugins
+    from . import door, ledger, plugins
 
-    chosen = cases or list(plugins.CASES if name == "plugins" else door.CASES)
+    known: dict[str, list[str]] = {
+        "plugins": list(plugins.CASES),
+        "door": list(door.CASES),
+        "ledger": list(ledger.CASES),
+    }
+    chosen = cases or known[name]
     with ThreadPoolExecutor(AT_A_TIME) as pool:
         played = list(pool.map(lambda case: one_case(name, case, seed, seconds, rate), chosen))
     bases = {c["case"]: c for c in played if c["case"] in ("none", "calm-none") and "failed" not in c}
--- a/harrieryoke/lab/world.py
+++ b/harrieryoke/lab/world.py
@@ -123,6 +123,7 @@
         shape: Shape | None = None,
         most_backoff: float = 500.0,
         sockets: int = 1024,
+        name: str = "lab",
     ) -> None:
         self.shape = shape or Shape()
         self.folder, self.rng = folder, random.Random(seed)
@@ -134,7 +135,7 @@
         self.listen = ("127.0.0.1", free_port())
         self.ops = f"127.0.0.1:{free_port()}"
         config = {
-            "name": "lab",
+            "name": name,
             "listen": f"127.0.0.1:{self.listen[1]}",
             "seed": f"{seed:x}",
             "limits": {"memory_mb": 1024, "sockets": sockets},
@@ -146,16 +147,29 @@
         (folder / "operator.toml").write_text(operator + f'\n[ops]\nlisten = "{self.ops}"\n')
         self.log = open(folder / "log", "wb")  # noqa: SIM115 - the process writes to it
         self.clock = SteppedClock(folder)
-        self.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "harrieryoke", "serve", "--operator", str(folder / "operator.toml")],
-            env=os.environ | self.clock.env() | {"RELAY_CONFIG": str(folder / "config.json")},
+        self.process = self.launch()
+        self.wait_up()
+        self.load = Load(self.listen, rate, tenants or TENANTS, self.rng)
+        self.resident: list[float] = []
+
+    def launch(self) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, "-B", "-m", "harrieryoke", "serve", "--operator",
+             str(self.folder / "operator.toml")],
+            env=os.environ | self.clock.env() | {"RELAY_CONFIG": str(self.folder / "config.json")},
             cwd=ROOT,
             stdout=self.log,
             stderr=self.log,
-        )
+        )  # fmt: skip
+
+    def kill(self) -> float:
+        """SIGKILL, and the same invoker again; how long until it takes connections, in ms."""
+        self.process.kill()
+        self.process.wait()
+        began = now_ms()
+        self.process = self.launch()
         self.wait_up()
-        self.load = Load(self.listen, rate, tenants or TENANTS, self.rng)
-        self.resident: list[float] = []
+        return now_ms() - began
 
     def host(self) -> EmulatedHost:
         """A new one, in each hall in turn."""
--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -16,7 +16,7 @@
 from ..background.decide.schedule import Job
 from ..background.runner import Runner, Slice
 from ..core.actor import Actor, now_ms, waited
-from ..core.records import Asked, Call, Ended
+from ..core.records import Asked, Call, Ended, Front
 from ..log import Log
 from ..state import Bucket
 from ..store.actor import StoreKeeper
@@ -34,6 +34,7 @@
 T = TypeVar("T")
 NO_TENANT = "(none)"
 TICK_MS = 500.0
+LAST_MS = 3.0  # before its time an answer leaves, whatever the disk does
 PACK = msgspec.msgpack.encode
 
 
@@ -45,6 +46,40 @@
     told: AsyncResult
 
 
+@dataclass(slots=True)
+class Answered:
+    """A call has its final answer, which leaves by `deliver`."""
+
+    call: Call
+    how: str
+    deliver: Callable[[], object]
+
+
+@dataclass(slots=True)
+class Held:
+    """An answer that waits for its entry, until `until` at the latest."""
+
+    seq: int
+    until: float
+    deliver: Callable[[], object]
+
+
+class HeldFront:
+    """Stands in for a front: what was answered is in the ledger before the client hears it."""
+
+    def __init__(self, front: Front, ledger: LedgerActor) -> None:
+        self.front, self.ledger = front, ledger
+
+    def served(self, call: Call, body: bytes) -> None:
+        self.ledger.answered(call, "served", lambda: self.front.served(call, body))
+
+    def refused(self, call: Call, retry_after: float | None) -> None:
+        self.ledger.answered(call, "refused", lambda: self.front.refused(call, retry_after))
+
+    def failed(self, call: Call, reason: str) -> None:
+        self.ledger.answered(call, "failed", lambda: self.front.failed(call, reason))
+
+
 class LedgerActor(Actor):
     """Owns the ledger. It hears of each final answer and never makes one wait: what finds no room is counted,
     and a gap is written as soon as there is room again. Raises LedgerError or StoreError at the start."""
@@ -72,6 +107,8 @@
             self.ledger.batch, self.ledger.batch_ms = collector.batch, collector.batch_ms
         self.shares = {n: Bucket(rate=t.allowance_per_s) for n, t in enumerate(settings.tenants)}
         self.counts: Counter[str] = Counter()
+        self.holds = store is not None and told.hold_ms > 0
+        self.held: list[Held] = []
         self.missed = self.missed_first = self.missed_last = 0
         self.memory: dict[int, Entry] = {}  # without a store: entries that the export still wants, by number
         self.serial = 0
@@ -97,7 +134,18 @@
 
     # --- the table's side ---
 
+    def front_for(self, front: Front) -> Front:
+        return HeldFront(front, self) if self.holds else front
+
+    def answered(self, call: Call, how: str, deliver: Callable[[], object]) -> None:
+        if not self.tell(Answered(call, how, deliver)):
+            self.miss(now_ms())
+            deliver()
+
     def ended(self, call: Call, how: str) -> None:
+        """Where answers come by `answered`, only a call without one is new here."""
+        if self.holds and how != "withdrawn":
+            return
         if not self.tell(Ended(call, how)):
             self.miss(now_ms())
 
@@ -120,10 +168,40 @@
 
     def run(self) -> None:
         while not self.over:
-            self.wait(TICK_MS)
+            soonest = min((h.until for h in self.held), default=now_ms() + TICK_MS)
+            self.wait(min(TICK_MS, soonest - now_ms()))
             self.work()
+            self.release()
             self.tick(now_ms())
 
+    def release(self) -> None:
+        """Answers leave once their entries are durable, or when they may wait no longer: then `unsure` counts
+        them, since a crash just now would leave them out of the ledger."""
+        if not self.held:
+            return
+        now, durable = now_ms(), self.durable()
+        failing = self.keeper is not None and self.keeper.failing
+        held, self.held = self.held, []
+        for each in held:
+            if each.seq <= durable:
+                each.deliver()
+            elif failing or not now < each.until <= now + self.told.hold_ms:
+                self.counts["unsure"] += 1
+                each.deliver()
+            else:
+                self.held.append(each)
+
+    def finish(self) -> None:
+        """Whatever ended this actor: no answer stays here."""
+        super().finish()
+        for each in self.held:
+            each.deliver()
+        for message in list(self.box):
+            if isinstance(message, Answered):
+                message.deliver()
+        self.held.clear()
+        self.box.clear()
+
     def tick(self, now: float) -> None:
         if self.missed and self.room():
             count, self.missed = self.missed, 0
@@ -141,6 +219,13 @@
 
     def receive(self, message: Any) -> None:
         match message:
+            case Answered(call, how, deliver):
+                seq = self.enter(call, how)
+                if seq is None or seq <= self.durable():
+                    deliver()
+                else:
+                    until = min(now_ms() + self.told.hold_ms, call.due - LAST_MS)
+                    self.held.append(Held(seq, until, deliver))
             case Ended(call, how):
                 self.enter(call, how)
             case Do(what, told):
@@ -151,21 +236,23 @@
             case Asked(tell):
                 tell(self.status())
 
-    def enter(self, call: Call, how: str) -> None:
+    def enter(self, call: Call, how: str) -> int | None:
+        """The record's number, or None where there is no room."""
         now = now_ms()
         if not self.room():
-            return self.miss(now)
+            self.miss(now)
+            return None
         kind = self.settings.classes[call.class_index]
         share = None if call.tenant is None else self.shares.get(call.tenant)
         over = bool(share and share.rate) and not share.take(now, share.rate / 1000, max(1.0, share.rate))  # type: ignore[union-attr]
         tenant = NO_TENANT if call.tenant is None else self.settings.tenants[call.tenant].name
         took = max(0, int(now - call.taken)) if call.taken else 0
         use = Use(int(now), tenant, kind.name, how, int(1000 * kind.worth), took, int(call.memory), over,
-                  call.function, call.label or "", call.key)  # fmt: skip
-        self.write(self.ledger.book.use(use), now)
+                  call.function, call.label or "", call.key, call.rid)  # fmt: skip
         self.counts[how] += 1
+        return self.write(self.ledger.book.use(use), now)
 
-    def write(self, entry: Entry, now: float, root: Id | None = None) -> None:
+    def write(self, entry: Entry, now: float, root: Id | None = None) -> int:
         """Keeps an entry that the book has made. A correction stands under the key of what it corrects in the
         end, and its own key points there."""
         seq = self.keep(now, entry.kind, (root or entry.id).key(), entry.encode())
@@ -176,6 +263,7 @@
         self.ledger.entered(seq, entry, now)
         if len(self.ledger.fresh) >= self.ledger.batch:
             self.wanted()
+        return seq
 
     def keep(self, now: float, kind: int, key: bytes, payload: bytes) -> int:
         """`room` was asked before; what is told besides entries is small and finds room."""
--- a/harrieryoke/ledger/decide/book.py
+++ b/harrieryoke/ledger/decide/book.py
@@ -44,6 +44,7 @@
     function: str = ""
     label: str = ""
     key: str | None = None
+    call: str = ""
 
 
 @dataclass(slots=True)
@@ -131,6 +132,7 @@
             label=use.label,
             repeat=repeat,
             key=key,
+            call=use.call,
         )
 
     def correct(self, old: Entry, earlier: Amounts, to: Amounts, reason: str, at: int) -> Entry:
@@ -155,6 +157,7 @@
             corrects=old.id,
             reason=reason,
             home=old.period,
+            call=old.call,
         )
 
     def gap(self, at: int, first: int, last: int, reason: str) -> Entry:
@@ -180,6 +183,7 @@
         corrects: Id | None = None,
         reason: str = "",
         home: int | None = None,
+        call: str = "",
     ) -> Entry:
         wanted = self.periods.of(at) if home is None else home
         period = self.periods.open_for(at if home is None else self.periods.begin(home))
@@ -187,7 +191,7 @@
         number = self.number + 1
         id = Id(self.instance, self.epoch, number)
         entry = Entry(id, kind, at, period, tenant, klass, outcome, amounts, over, function, label,
-                      repeat, key, came, corrects, reason)  # fmt: skip
+                      repeat, key, came, corrects, reason, call)  # fmt: skip
         self.apply(entry)
         return entry
 
--- a/harrieryoke/ledger/decide/entry.py
+++ b/harrieryoke/ledger/decide/entry.py
@@ -87,6 +87,7 @@
     came: int = -1
     corrects: Id | None = None
     reason: str = ""
+    call: str = ""  # the id that the client gave it
 
     def encode(self) -> bytes:
         return ENCODER.encode(self)
--- a/harrieryoke/ledger/part.py
+++ b/harrieryoke/ledger/part.py
@@ -11,7 +11,7 @@
 from ..background.runner import Runner
 from ..background.settings import BackgroundSettings
 from ..checks import read_address
-from ..core.records import Call
+from ..core.records import Call, Front
 from ..limits import Limits
 from ..log import Log
 from ..store.settings import StoreSettings
@@ -52,6 +52,9 @@
     def ended(self, call: Call, how: str) -> None:
         self.actor.ended(call, how)
 
+    def front_for(self, front: Front) -> Front:
+        return self.actor.front_for(front)
+
     def start(self) -> None:
         self.actor.start()
         self.runner.start()
--- a/harrieryoke/ledger/settings.py
+++ b/harrieryoke/ledger/settings.py
@@ -33,6 +33,7 @@
     period_s: int = 86_400
     grace_s: int = 600  # after a period's end until it is closed
     key_window_s: float = 600.0  # a key that was served is billed once within it
+    hold_ms: float = 20.0  # that an answer waits for its entry to be durable; 0: it does not wait
     memory_entries: int = 100_000  # without a store: that wait for the collector
     collector: CollectorSettings | None = None
     prices: dict[str, Price] = {}  # by class
@@ -42,6 +43,7 @@
             ("period_s", 1, 366 * 86_400),
             ("grace_s", 0, 366 * 86_400),
             ("key_window_s", 0, 86_400),
+            ("hold_ms", 0, 1000),
             ("memory_entries", 1, 100_000_000),
         )
         for key, least, most in bounds:
--- a/harrieryoke/ledger/wire/codec.py
+++ b/harrieryoke/ledger/wire/codec.py
@@ -89,6 +89,7 @@
         came=entry.came,
         corrects=str(entry.corrects) if entry.corrects is not None else "",
         reason=entry.reason,
+        call=entry.call,
     )
     return made.SerializeToString(deterministic=True)
 
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -11,7 +11,7 @@
 from . import interface as i
 from .core.calls import CallMaker
 from .core.module import ModuleActor
-from .core.records import Call, Door, Gate
+from .core.records import Door, Gate, Recorder
 from .limits import Limits
 from .log import Log
 
@@ -48,10 +48,8 @@
     def ask_status(self, timeout_ms: float) -> dict[str, Any]: ...
 
 
-class LedgerPart(Part, Protocol):
-    """Hears of each final answer and never waits; `stop` is for after the last of them."""
-
-    def ended(self, call: Call, how: str) -> None: ...
+class LedgerPart(Part, Recorder, Protocol):
+    """Keeps a record of each final answer; `stop` is for after the last of them."""
 
     def reload(self) -> None: ...
 
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -46,7 +46,7 @@
         if self.parts.door is not None:
             self.core.set_door(self.parts.door)
         if self.parts.ledger is not None:
-            self.core.table.watchers.append(self.parts.ledger)
+            self.core.set_recorder(self.parts.ledger)
         self.stop, self.broken = Event(), False
 
     def start(self) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -23,7 +23,7 @@
 from harrieryoke.ledger.settings import CollectorSettings, LedgerError, LedgerSettings
 from harrieryoke.ledger.tls import context
 from harrieryoke.limits import Limits
-from harrieryoke.plugins.bench import SETTINGS, Quiet
+from harrieryoke.plugins.bench import SETTINGS, Caller, Quiet
 from harrieryoke.store.settings import StoreSettings
 
 
@@ -38,7 +38,7 @@
     """A ledger with its parts in this process, an emulated collector, and calls that have ended."""
 
     def __init__(self, folder: Path | None, collector: EmulatedCollector | None, **told: Any) -> None:
-        self.collector, self.rng = collector, random.Random(1)
+        self.collector, self.rng, self.callers = collector, random.Random(1), list[Caller]()
         link, store = None, None
         if collector is not None:
             link = CollectorSettings(collector.address(), batch=20, batch_ms=20.0, answer_ms=500.0)
@@ -57,12 +57,19 @@
         )
         self.part.start()
 
-    def ends(self, count: int, how: str = "served", tenant: int = 0, key: str | None = None) -> None:
+    def ends(self, count: int, tenant: int = 0, how: str = "served") -> None:
         for _ in range(count):
             now = now_ms()
-            call = Call(f"{self.rng.getrandbits(64):016x}", 0, "f" * 16, now + 1000, tenant=tenant, key=key,
+            call = Call(f"{self.rng.getrandbits(64):016x}", 0, "f" * 16, now + 1000, tenant=tenant,
                         memory=400, taken=now - 50)  # fmt: skip
-            self.part.ended(call, how)
+            caller = Caller()
+            self.callers.append(caller)
+            front = self.part.front_for(caller)
+            if front is caller:
+                self.part.ended(call, how)
+                caller.served(call, b"")
+            else:
+                front.served(call, b"")
 
     def settled(self) -> bool:
         status = self.part.actor.ask_status(1000)
@@ -94,6 +101,7 @@
     until(rig.settled)
     rig.part.stop()
     collector.down()
+    assert {caller.answers for caller in rig.callers} == {1}
     figures = collector.figures()
     assert (figures["entries"], figures["duplicates"], figures["holes"]) == (37 * step, 0, 0), figures
     assert collector.totals()["coop-sahel", "served"][0] == 37 * len(range(0, step, 3))
