Reconcile a sealed period with the collector by sketches that grow with the difference

A collector that lost entries in the midst of batches it says it has would never be sent them again. After a period is sealed, or on request, strata estimate the difference, an invertible Bloom lookup table finds it, and the entries that the collector lacks are sent; what only it has is reported.

--- a/harrieryoke/lab/collector.py
+++ b/harrieryoke/lab/collector.py
@@ -11,6 +11,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ..ledger.decide.reconcile import Session
 from ..ledger.wire import codec
 from ..ledger.wire.codec import pb
 
@@ -24,6 +25,7 @@
         self.rng, self.faults = rng, faults or {}
         self.kept: dict[tuple[str, int, int], pb.Batch] = {}
         self.older: dict[tuple[str, int, int], pb.Batch] = {}
+        self.repaired: dict[str, list[bytes]] = {}
         self.hellos: list[pb.Hello] = []
         self.counts: Counter[str] = Counter()
         self.links: set[Any] = set()
@@ -77,6 +79,10 @@
                         instance = frame.hello.instance
                         self.hellos.append(frame.hello)
                         sock.sendall(codec.encode(pb.Frame(welcome=self.welcome(instance))))
+                    elif what == "reconcile":
+                        sock.sendall(codec.encode(pb.Frame(sketch=self.sketch(instance, frame.reconcile))))
+                    elif what == "repair":
+                        self.repair(instance, list(frame.repair.entries))
                     elif what == "batch" and not self.batch(sock, instance, frame.batch):
                         return
         except (OSError, codec.WireError):
@@ -128,10 +134,40 @@
             sock.sendall(codec.encode(pb.Frame(answer=answer)))
         return True
 
+    # --- reconciliation ---
+
+    def lose_entries(self, count: int) -> None:
+        """Entries in the midst of batches that it still says it has."""
+        for key in self.rng.sample(sorted(self.kept), count):
+            batch = pb.Batch()
+            batch.CopyFrom(self.kept[key])
+            del batch.entries[self.rng.randrange(len(batch.entries))]
+            self.kept[key] = batch
+
+    def sketch(self, instance: str, asked: pb.Reconcile) -> pb.Sketch:
+        ids = {
+            codec.wire_id(data)
+            for data in self.raw(instance)
+            if pb.Entry.FromString(data).period == asked.period
+        }
+        session = Session(ids, asked.seed)
+        data = session.table(asked.cells) if asked.cells else session.strata()
+        return pb.Sketch(period=asked.period, cells=asked.cells, data=data)
+
+    def repair(self, instance: str, entries: list[bytes]) -> None:
+        had = {codec.wire_id(data) for data in self.raw(instance)}
+        new = [data for data in entries if codec.wire_id(data) not in had]
+        self.counts["repaired"] += len(new)
+        self.repaired.setdefault(instance, []).extend(new)
+
     # --- what it knows ---
 
+    def raw(self, instance: str | None = None) -> list[bytes]:
+        kept = [data for key, b in self.kept.items() if instance in (None, key[0]) for data in b.entries]
+        return kept + [d for name, data in self.repaired.items() if instance in (None, name) for d in data]
+
     def entries(self) -> list[pb.Entry]:
-        return [pb.Entry.FromString(data) for batch in self.kept.values() for data in batch.entries]
+        return [pb.Entry.FromString(data) for data in self.raw()]
 
     def figures(self) -> dict[str, Any]:
         """Duplicates, and numbers that are missing before the last that it has of an epoch."""
--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -29,7 +29,7 @@
 from .decide.ledger import CUT, DONE, ENTRIES, EPOCH, POINTER, SEAL, Began, Cut, Done, Ledger, Sealed
 from .decide.periods import PeriodError, Periods
 from .settings import LedgerError, LedgerSettings
-from .wire.codec import digest, entry_bytes
+from .wire.codec import digest, entry_bytes, wire_id
 
 T = TypeVar("T")
 NO_TENANT = "(none)"
@@ -124,6 +124,7 @@
             self.snapshot_seq = self.keeper.store.recovery.snapshot
             for words in self.ledger.damaged:
                 log("ledger-damaged", words)
+        self.sealed: Callable[[int], object] = lambda period: None  # a period has been closed
         self.wanted: Callable[[], object] = lambda: None  # tells the export that there may be something to do
         began = Began(instance, self.epoch, int(now))
         self.ledger.epochs[self.epoch] = began
@@ -214,6 +215,7 @@
         period = self.ledger.book.seal(number, int(now))
         self.keep(now, SEAL, b"", PACK(Sealed(number, period.sealed, int(now))))
         gaps = f", {period.gaps} gaps in it" if period.gaps else ""
+        self.sealed(number)
         self.log("period-sealed", f"{number}: {period.sealed}{gaps}", period=number, gaps=period.gaps)
         return period.sealed
 
@@ -322,6 +324,14 @@
             raise LookupError(f"batch {batch.id}: {len(found)} of {wanted} entries are there")
         return found
 
+    def period_bytes(self, period: int) -> dict[int, bytes]:
+        """All entries of a period that are still here, by id, as they go over the wire. Read beside the
+        loop."""
+        if self.keeper is not None:
+            return self.keeper.ask(lambda store: period_entries(store, period))
+        made = (entry_bytes(entry) for entry in self.memory.values() if entry.period == period)
+        return {wire_id(data): data for data in made}
+
     def batch_ended(self, id: BatchId, reason: str = "") -> None:
         """It is acknowledged, or set aside with a reason."""
         if reason:
@@ -471,6 +481,15 @@
     return found
 
 
+def period_entries(store: Store, period: int) -> dict[int, bytes]:
+    found: dict[int, bytes] = {}
+    for record in store.from_seq(1):
+        if record.kind in ENTRIES and (entry := decode(record.payload)).period == period:
+            data = entry_bytes(entry)
+            found[wire_id(data)] = data
+    return found
+
+
 def find(store: Store, id: Id) -> tuple[Id, list[Entry]]:
     """What the id is of in the end, and that entry with all corrections of it."""
     root = id
--- a/harrieryoke/ledger/commands.py
+++ b/harrieryoke/ledger/commands.py
@@ -166,6 +166,17 @@
             print(f"{key.replace('_', ' ')}: {value}")
 
 
+@ledger.command()
+def reconcile(period: int, ops: OpsWanted, json: Json = False) -> None:
+    """Compare a period with the collector and send it what it lacks; prints what came of the last ones, so
+    call it again for this one's."""
+    rows = asked(ops, "POST", "/ledger/reconcile", period=period)["results"]
+    if json:
+        print(msgspec.json.encode(rows).decode())
+    else:
+        table(rows, ("period", "entries", "sent", "not_here", "bytes", "all_bytes"))
+
+
 @ledger.command()
 def again(epoch: str, batch: int, ops: OpsWanted) -> None:
     """Try a batch that was set aside once more."""
--- a/harrieryoke/ledger/link.py
+++ b/harrieryoke/ledger/link.py
@@ -16,6 +16,7 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
+from gevent.lock import RLock
 
 from ..background.decide.schedule import Job
 from ..background.runner import Runner, Slice
@@ -23,6 +24,7 @@
 from ..log import Log
 from .actor import LedgerActor
 from .decide.export import BatchId
+from .reconciler import Reconciler
 from .settings import CollectorSettings, LedgerError
 from .tls import context
 from .wire import codec
@@ -48,11 +50,19 @@
         self.connections = self.sent_bytes = 0
         self.rng = random.Random()
         ledger.wanted = lambda: runner.want("export")
+        self.sending = RLock()
+        self.reconciler = Reconciler(ledger, self.send, lambda: self.ready, log, told.answer_ms)
+        runner.add(Job("reconcile", 3, every_ms=told.answer_ms), self.reconciler.slice)
+        ledger.sealed = self.reconcile
         runner.add(Job("export", 6, every_ms=told.batch_ms, deadline_ms=10 * told.batch_ms), self.slice)
 
     def start(self) -> None:
         spawn(self.log, "collector link", self.run, self.gone.set)
 
+    def reconcile(self, period: int) -> None:
+        self.reconciler.want(period)
+        self.runner.want("reconcile")
+
     def reload(self) -> None:
         """SIGHUP: certificates and keys are read anew, and the next connection is made with them."""
         try:
@@ -139,6 +149,9 @@
                     self.log("collector-connected", self.told.address)
                 elif what == "answer" and welcomed:
                     self.ledger.ask(partial(self.answer, frame.answer))
+                elif what == "sketch" and welcomed:
+                    if self.reconciler.heard(frame.sketch):
+                        self.runner.want("reconcile")
                 else:
                     raise codec.WireError(f"an unexpected {what}")
                 self.runner.want("export")
@@ -185,27 +198,29 @@
 
             self.ledger.ask(aside)
             return Slice(more=True)
-        frame = codec.encode(
-            pb.Frame(
-                batch=pb.Batch(
-                    epoch=batch.id.epoch,
-                    number=batch.id.number,
-                    first=batch.first,
-                    last=batch.last,
-                    digest=batch.digest,
-                    entries=entries,
-                )
-            )
+        made = pb.Batch(
+            epoch=batch.id.epoch,
+            number=batch.id.number,
+            first=batch.first,
+            last=batch.last,
+            digest=batch.digest,
+            entries=entries,
         )
-        sock = self.sock
+        return Slice(more=True, size=self.send(pb.Frame(batch=made)))
+
+    def send(self, frame: pb.Frame) -> int:
+        """Its bytes. Where they can't be sent the connection ends: its reader tells the ledger, and what is
+        out goes again."""
+        data, sock = codec.encode(frame), self.sock
         try:
-            if sock is not None:
-                sock.settimeout(WRITE_S)
-                sock.sendall(frame)
+            with self.sending:  # guards a frame against another in its midst
+                if sock is not None:
+                    sock.settimeout(WRITE_S)
+                    sock.sendall(data)
         except OSError:
-            self.drop()  # its reader tells the ledger, and what is out goes again
-        self.sent_bytes += len(frame)
-        return Slice(more=True, size=len(frame))
+            self.drop()
+        self.sent_bytes += len(data)
+        return len(data)
 
     def drop(self) -> None:
         sock, self.sock = self.sock, None
--- a/harrieryoke/ledger/part.py
+++ b/harrieryoke/ledger/part.py
@@ -79,6 +79,10 @@
             if path == "/ledger":
                 status = self.actor.ask_status(timeout_ms)
                 return 200, status | {"jobs": self.runner.schedule.status()}
+            if path == "/ledger/reconcile" and self.link is not None:
+                if method == "POST":
+                    self.link.reconcile(int(query["period"]))
+                return 200, {"results": list(self.link.reconciler.results.values())}
             if path == "/ledger/close":
                 return 200, {"sealed": self.actor.close_period(int(query["period"]))}
             if path == "/ledger/again":
--- a/harrieryoke/ledger/wire/codec.py
+++ b/harrieryoke/ledger/wire/codec.py
@@ -10,7 +10,7 @@
 from ..decide.entry import Entry
 from . import ledger_pb2 as pb
 
-__all__ = ["Decoder", "WireError", "digest", "encode", "entry_bytes", "pb"]
+__all__ = ["Decoder", "WireError", "digest", "encode", "entry_bytes", "pb", "wire_id"]
 
 VERSION = 1
 MOST_FRAME = 4 << 20
@@ -94,6 +94,11 @@
     return made.SerializeToString(deterministic=True)
 
 
+def wire_id(data: bytes) -> int:
+    """By which the two sides of a reconciliation know an entry."""
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "little")
+
+
 def digest(entries: Iterable[bytes]) -> str:
     told = hashlib.blake2b(digest_size=16)
     for entry in entries:
--- a/harrieryoke/ops.py
+++ b/harrieryoke/ops.py
@@ -45,6 +45,8 @@
     "/ledger/close": ("POST", "close and seal the period of ?period=", (200, 400, 404, 503), DONE),
     "/ledger/correct": ("POST", "bring ?id= to ?calls=&worth=&took=&held= with a ?reason=",
                         (200, 400, 404, 503), DONE),
+    "/ledger/reconcile": ("POST", "reconcile ?period= with the collector; what came of the last ones",
+                          (200, 400, 404, 503), DONE),
     "/ledger/again": ("POST", "try the batch ?epoch=&batch= that was set aside", (200, 400, 404, 503), DONE),
     "/plugins": ("GET", "plug-ins, their versions and figures", (200, 404), PLUGINS),
     "/plugins/swap": ("POST", "read plug-ins anew: the one of ?name=, or all", (202, 404), BEGUN),
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -124,6 +124,26 @@
     collector.down()
 
 
+@pytest.mark.parametrize("disk", [True, False])
+def test_entries_that_the_collector_lost_are_found_and_sent_again(disk: bool, tmp_path: Path) -> None:
+    collector = EmulatedCollector(random.Random(3))
+    rig = Rig(tmp_path if disk else None, collector)
+    rig.ends(400)
+    until(rig.settled)
+    collector.lose_entries(7)
+    assert collector.figures()["entries"] == 393
+    (period,) = rig.part.actor.ask_status(1000)["periods"]
+    query = {"period": str(period["period"])}
+    assert rig.part.answer("POST", "/ledger/reconcile", query, 1000)[0] == 200
+    until(lambda: collector.counts["repaired"])
+    until(lambda: rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"])
+    (result,) = rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"]
+    figures = collector.figures()
+    assert (figures["entries"], figures["duplicates"], result["sent"], result["not_here"]) == (400, 0, 7, 0)
+    rig.part.stop()
+    collector.down()
+
+
 def test_a_correction_of_a_correction_is_found_after_a_restart(tmp_path: Path) -> None:
     rig = Rig(tmp_path, None)
     rig.ends(3)
