--- a/harrieryoke/lab/collector.py
+++ b/harrieryoke/lab/collector.py
@@ -183,6 +183,9 @@
             "counts": dict(self.counts),
         }
 
+    def gaps(self) -> int:
+        return sum(e.kind == pb.GAP for e in self.entries())
+
     def totals(self) -> dict[tuple[str, str], list[int]]:
         """Calls and milliseconds by tenant and outcome."""
         sums: dict[tuple[str, str], list[int]] = {}
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import datetime
+import json
 import random
 import ssl
+import subprocess
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -26,6 +29,8 @@
 from harrieryoke.plugins.bench import SETTINGS, Caller, Quiet
 from harrieryoke.store.settings import StoreSettings
 
+from .scenario import Scene, listener, where
+
 
 def until(done: Callable[[], object], seconds: float = 20.0) -> None:
     end = time.monotonic() + seconds
@@ -77,6 +82,11 @@
         return not (export["not_in_a_batch"] or export["unsent"] or self.part.actor.box)
 
 
+    def settled_but_aside(self) -> bool:
+        export = self.part.actor.ask_status(1000)["export"]
+        return not (export["not_in_a_batch"] or export["waiting"] or export["out"])
+
+
 FAULTS = {"lose": 0.1, "drop": 0.1, "twice": 0.1, "slow": 0.1, "refuse": 0.1}
 
 
@@ -192,6 +202,105 @@
     rig.part.stop()
 
 
+def test_beyond_the_disks_budget_the_oldest_go_and_totals_say_so(tmp_path: Path) -> None:
+    """A collector that is down for longer than the disk can wait."""
+    collector = EmulatedCollector(random.Random(1))
+    collector.down()
+    told = {"snapshot_every": 100, "budget_mb": 0.03}
+    rig = Rig(tmp_path, collector, store=told)
+    for _ in range(6):
+        rig.ends(100)
+        until(lambda: not rig.part.actor.box)
+        gevent.sleep(0.05)
+        rig.part.actor.ask(rig.part.actor.next_batch)  # cut, though nothing can be sent
+    actor = rig.part.actor
+    actor.ask(actor.ledger.export.connection_lost)
+    assert actor.keeper is not None and actor.keeper.wait_durable(actor.keeper.next_seq - 1, 5)
+    rig.part.runner.schedule.jobs["snapshot"].next_at = 0.0
+    rig.part.runner.want("snapshot")
+    until(lambda: actor.snapshot_seq > 500)
+    rig.part.runner.want("compact")
+    until(lambda: actor.ask_status(1000)["export"]["aside"])
+    status = actor.ask_status(1000)
+    assert sum(p["gaps"] for p in status["periods"]) == 1
+    assert all("want of room" in batch["reason"] for batch in status["export"]["aside"])
+    assert sum(line["calls"] for line in status["totals"]) == 600  # the snapshot has all of them
+    collector.listen()
+    until(rig.settled_but_aside)
+    figures = collector.figures()
+    assert figures["duplicates"] == 0 and 0 < figures["entries"] < 600 and collector.gaps() == 1
+    rig.part.stop()
+    collector.down()
+
+
+@pytest.mark.parametrize("case", ["kills-disk", "kills-memory"])
+def test_killed_at_random_each_answer_has_its_entry_or_lies_in_a_named_gap(case: str, tmp_path: Path) -> None:
+    out = tmp_path / "figures.json"
+    told = [sys.executable, "-B", "-m", "harrieryoke.lab.case", "ledger", case, "3", "8", "60"]
+    subprocess.run([*told, str(tmp_path), str(out)], check=True, timeout=180)
+    figures = json.loads(out.read_text())
+    assert figures["kills"] >= 2 and figures["truth"] > 100 and figures["duplicates"] == 0
+    assert figures["answered_once"] == figures["taken"] and figures["exit_codes"] == [0, 0, 0]
+    if case == "kills-disk":
+        assert figures["missing"] == 0 and figures["totals_equal"] and all(figures["settled"])
+    else:
+        assert figures["missing_outside_gaps"] == 0
+
+
+def test_commands_read_a_folder_and_ask_a_running_invoker(tmp_path: Path) -> None:
+    free = listener()
+    ops = where(free)
+    free.close()
+    folder = tmp_path / "data"
+    operator = f'[ops]\nlisten = "{ops}"\n[store]\nfolder = "{folder}"\n[ledger]\nperiod_s = 3600\n'
+
+    def command(*words: str) -> tuple[int, str]:
+        told = [sys.executable, "-B", "-m", "harrieryoke", *words]
+        done = subprocess.run(told, capture_output=True, text=True, check=False, timeout=60)
+        return done.returncode, done.stdout + done.stderr
+
+    seen: dict[str, tuple[int, str]] = {}
+
+    def probe() -> None:
+        seen["totals"] = command("ledger", "totals", "--ops", ops, "--json")
+        seen["beside"] = command("store", "check", str(folder), "--json")
+        dumped = command("store", "dump", str(folder), "--from", "2")[1].splitlines()
+        instance, epoch, number = json.loads(dumped[0])["payload"][0]
+        id = f"{instance}/{epoch:x}/{number}"
+        seen["correct"] = command("ledger", "correct", id, "--reason", "a test", "--ops", ops)
+        seen["close"] = command("ledger", "close", str(10**9), "--ops", ops)
+        seen["none"] = command("ledger", "correct", "x/1/9", "--reason", "a test", "--ops", ops)
+
+    scene = Scene(tmp_path, operator=operator)
+    try:
+        scene.play(
+            """
+        send c1 call 1 weight-read body=x
+        expect h1 request body=x
+        send h1 ok body=y
+        expect c1 1 result y"""
+        )
+        probe()
+    finally:
+        log = scene.end()
+    assert "greenlet-died" not in log, log
+    (line,) = json.loads(seen["totals"][1])
+    assert (line["calls"], line["tenant"], line["outcome"]) == (1, "coop-kef", "served")
+    assert seen["beside"][0] == 0 and json.loads(seen["beside"][1])["records"] == 2
+    assert seen["correct"][0] == 0 and "in period" in seen["correct"][1]
+    assert seen["close"][0] == 2 and "is not over" in seen["close"][1]
+    assert seen["none"][0] == 2 and "not in the store" in seen["none"][1]
+    code, text = command("ledger", "totals", "--folder", str(folder), "--period-s", "3600", "--json")
+    assert code == 0 and sum(line["calls"] for line in json.loads(text)) == 0  # corrected to nothing
+    assert command("ledger", "verify", str(folder), "--period-s", "3600")[0] == 0
+    assert command("ledger", "verify", str(tmp_path / "none"))[0] == 2
+    path = next(folder.glob("segment-*.log"))
+    data = bytearray(path.read_bytes())
+    data[70] ^= 1
+    path.write_bytes(bytes(data))
+    assert command("store", "check", str(folder))[0] == 1
+
+
 def make_certificates(folder: Path, days: int = 2) -> None:
     from cryptography import x509
     from cryptography.hazmat.primitives import hashes, serialization
