--- a/harrieryoke/lab/storage.py
+++ b/harrieryoke/lab/storage.py
@@ -8,12 +8,14 @@
 from pathlib import Path
 from typing import Any
 
+from ..ledger.decide.reconcile import Session
 from ..store.files import RealFiles
 from ..store.settings import StoreSettings
 from ..store.store import Reader, Store
 
 GROUP = 100  # records that wait for one sync, as at some thousand calls a second
 MANY = 1_000_000
+ENTRY_BYTES = 115  # of an entry on its way to the collector
 
 
 def append(folder: Path, count: int, payload: bytes) -> float:
@@ -53,6 +55,30 @@
     return count / took
 
 
+def reconciled(seed: int, size: int, differ: int) -> dict[str, Any]:
+    """Bytes of all messages until both sides know what differs, against the ids of all and the entries of
+    all."""
+    rng = random.Random(seed)
+    common = {rng.getrandbits(64) for _ in range(size)}
+    theirs = set(rng.sample(sorted(common), size - differ))
+    one, other = Session(common, seed), Session(theirs, seed)
+    began = time.perf_counter()
+    cells = one.wanted(other.strata())
+    found = one.settle(other.table(cells))
+    while found is None and one.cells:
+        found = one.settle(other.table(one.cells))
+    took = time.perf_counter() - began
+    assert found is not None and found.ours == common - theirs
+    return {
+        "case": f"reconcile-{size}-{differ}",
+        "reconcile_bytes": one.sent,
+        "bytes_of_all_ids": 8 * len(theirs),
+        "bytes_of_all_entries": ENTRY_BYTES * len(theirs),
+        "ratio_to_ids": round(one.sent / (8 * len(theirs)), 4),
+        "seconds": round(took, 2),
+    }
+
+
 def play(seed: int, folder: Path) -> dict[str, Any]:
     rng = random.Random(seed)
     payload = rng.randbytes(120)
@@ -84,6 +110,7 @@
     scan = time.perf_counter() - began
     return {
         "case": "storage",
+        "reconcile": [reconciled(seed, 100_000, differ) for differ in (0, 10, 1000, 10_000)],
         "append_per_s": round(ours),
         "sqlite_wal_per_s": round(theirs),
         "ratio": round(ours / theirs, 2),
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -12,9 +12,10 @@
 
 from harrieryoke.checks import ConfigError
 from harrieryoke.core.actor import now_ms
-from harrieryoke.core.records import Call, Ended, Taken, Withdrawn
+from harrieryoke.core.records import Call, Ended, Front, Taken, Withdrawn
 from harrieryoke.door.actor import DoorActor
 from harrieryoke.door.settings import DoorSettings
+from harrieryoke.lab.rounds import Rounds
 from harrieryoke.limits import Limits
 from harrieryoke.plugins import bench
 from harrieryoke.serve import load_config
@@ -251,6 +252,33 @@
     assert rig.door.limit.limit >= 40 and rig.door.costs == costs
 
 
+class Ear:
+    """A door that hears of each end and does nothing else."""
+
+    def __init__(self) -> None:
+        self.ends: list[tuple[str, str, bool]] = []
+
+    def offer(self, call: Call, front: Front) -> bool:
+        return True
+
+    def withdraw(self, call: Call) -> bool:
+        return True
+
+    def ended(self, call: Call, how: str) -> None:
+        self.ends.append((call.function, how, call.cold))
+
+
+def test_the_door_is_told_which_calls_waited_for_a_load() -> None:
+    world, ear = Rounds(3, 60.0), Ear()
+    world.actor.set_door(ear)
+    world.run(20.0)
+    served = [(function, cold) for function, how, cold in ear.ends if how == "served"]
+    first = {function: cold for function, cold in reversed(served)}
+    late = [cold for _, cold in served[len(served) // 2 :]]
+    assert len(first) > 20 and all(first.values())  # the first of each function had no copy to go to
+    assert 0 < sum(late) < 0.3 * len(late)
+
+
 def test_a_call_withdrawn_while_it_is_handed_over_is_the_modules_to_drop() -> None:
     rig = Clocked(DoorSettings(inside_first=1, inside_least=1, inside_most=1))
     first, second = rig.call(), rig.call()
