--- a/harrieryoke/ledger/link.py
+++ b/harrieryoke/ledger/link.py
@@ -94,16 +94,8 @@
     def connect(self) -> None:
         sock: Any = socket.create_connection(self.where, DIAL_S)
         if self.context is not None:
-            from gevent.ssl import SSLContext
-
-            # gevent's own context, over the same files, does not block the loop
-            made = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-            made.minimum_version = ssl.TLSVersion.TLSv1_2
-            made.load_verify_locations(self.told.ca)
-            if self.told.certificate:
-                made.load_cert_chain(self.told.certificate, self.told.key)
             sock.settimeout(DIAL_S)
-            sock = made.wrap_socket(sock, server_hostname=self.told.server_name or self.where[0])
+            sock = self.context.wrap_socket(sock, server_hostname=self.told.server_name or self.where[0])
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
         self.connections += 1
--- a/harrieryoke/ledger/tls.py
+++ b/harrieryoke/ledger/tls.py
@@ -8,19 +8,22 @@
 
 from cryptography import x509
 from cryptography.hazmat.primitives import serialization
+from gevent.ssl import SSLContext
 
 from .settings import CollectorSettings, LedgerError
 
 
-def context(told: CollectorSettings) -> ssl.SSLContext | None:
-    """None without TLS. Raises LedgerError that names the key and the file: missing, no PEM, expired, not yet
-    valid, a key that is not the certificate's."""
+def context(told: CollectorSettings) -> SSLContext | None:
+    """For all connections until the next reload, whatever becomes of the files. None without TLS. Raises
+    LedgerError that names the key and the file: missing, no PEM, expired, not yet valid, a key that is not
+    the certificate's."""
     if not told.ca:
         return None
     for each in certificates("ca", told.ca):
         valid("ca", told.ca, each)
-    made = ssl.create_default_context(cafile=told.ca)
+    made = SSLContext(ssl.PROTOCOL_TLS_CLIENT)  # it checks certificate and name
     made.minimum_version = ssl.TLSVersion.TLSv1_2
+    made.load_verify_locations(told.ca)
     if told.certificate:
         own = certificates("certificate", told.certificate)[0]
         valid("certificate", told.certificate, own)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -29,6 +29,7 @@
 from harrieryoke.plugins.bench import SETTINGS, Caller, Quiet
 from harrieryoke.store.settings import StoreSettings
 
+from .faulty import Disk
 from .scenario import Scene, listener, where
 
 
@@ -294,6 +295,7 @@
     assert code == 0 and sum(line["calls"] for line in json.loads(text)) == 0  # corrected to nothing
     assert command("ledger", "verify", str(folder), "--period-s", "3600")[0] == 0
     assert command("ledger", "verify", str(tmp_path / "none"))[0] == 2
+    assert json.loads(command("store", "repair", str(folder))[1])["damaged"] == []
     path = next(folder.glob("segment-*.log"))
     data = bytearray(path.read_bytes())
     data[70] ^= 1
@@ -301,6 +303,33 @@
     assert command("store", "check", str(folder))[0] == 1
 
 
+def test_a_disk_that_fails_holds_no_answer_and_what_found_no_room_becomes_a_gap(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk = Disk(1)
+    monkeypatch.setattr("harrieryoke.store.actor.RealFiles", lambda folder: disk)
+    rig = Rig(tmp_path, None, store={"queue_mb": 0.03}, hold_ms=1000)
+    rig.ends(5)
+    until(lambda: all(caller.answers for caller in rig.callers))
+    disk.failing_sync = True
+    rig.ends(200)
+    until(lambda: all(caller.answers for caller in rig.callers))  # none waits for the disk
+    status = rig.part.actor.ask_status(1000)
+    assert "ENOSPC" in status["store"]["failing"] and status["counts"]["unsure"] > 0
+    assert 0 < status["missed_open"] < 200
+    disk.failing_sync = False
+    until(lambda: rig.part.actor.ask_status(1000)["missed_open"] == 0)
+    status = rig.part.actor.ask_status(1000)
+    assert sum(p["gaps"] for p in status["periods"]) == 1 and not status["store"]["failing"]
+    assert status["counts"]["missed"] + status["entries"] - 1 == 205
+    rig.part.stop()
+    disk.crash()
+    again = Rig(tmp_path, None)
+    entries = sum(p["entries"] for p in again.part.actor.ask_status(1000)["periods"])
+    assert entries == status["entries"]  # and the gap with them
+    again.part.stop()
+
+
 def make_certificates(folder: Path, days: int = 2) -> None:
     from cryptography import x509
     from cryptography.hazmat.primitives import hashes, serialization
@@ -353,7 +382,10 @@
     part.ended(Call("1" * 16, 0, "f" * 16, now_ms() + 100, taken=now_ms()), "served")
     until(lambda: collector.figures()["entries"] == 1)
     (good / "cert.pem").write_text("nonsense")
-    part.reload()  # the old files stay in force
-    assert part.link is not None and part.link.context is not None
+    part.reload()  # the old files stay in force, also for a new connection
+    collector.cut()
+    part.ended(Call("2" * 16, 0, "f" * 16, now_ms() + 100, taken=now_ms()), "served")
+    until(lambda: collector.figures()["entries"] == 2)
+    assert len(collector.hellos) == 2
     part.stop()
     collector.down()
