--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -107,7 +107,8 @@
             self.ledger.batch, self.ledger.batch_ms = collector.batch, collector.batch_ms
         self.shares = {n: Bucket(rate=t.allowance_per_s) for n, t in enumerate(settings.tenants)}
         self.counts: Counter[str] = Counter()
-        self.holds = store is not None and told.hold_ms > 0
+        # with another policy nothing is durable soon, by the operator's choice
+        self.holds = store is not None and store.sync == "group" and told.hold_ms > 0
         self.held: list[Held] = []
         self.missed = self.missed_first = self.missed_last = 0
         self.memory: dict[int, Entry] = {}  # without a store: entries that the export still wants, by number
@@ -208,10 +209,13 @@
             count, self.missed = self.missed, 0
             said = f"{count} entries found no room"
             self.write(self.ledger.book.gap(int(now), self.missed_first, self.missed_last, said), now)
-        for number in self.ledger.book.periods.due(int(now)):
+        for number in self.ledger.book.periods.due(int(now)) if self.room() else ():
             self.seal(number, now)
 
     def seal(self, number: int, now: float) -> str:
+        """Raises PeriodError for a period that can't be closed now."""
+        if not self.room():
+            raise PeriodError("the store takes nothing just now")
         period = self.ledger.book.seal(number, int(now))
         self.keep(now, SEAL, b"", PACK(Sealed(number, period.sealed, int(now))))
         gaps = f", {period.gaps} gaps in it" if period.gaps else ""
@@ -297,12 +301,11 @@
     def next_batch(self, flush: bool = False) -> Batch | None:
         """The batch that goes to the collector now; it counts as out from here on."""
         now, durable = now_ms(), self.durable()
-        while run := self.ledger.due(now, durable, flush):
+        # guards against a batch whose cut could not be written down: it would be cut otherwise after a crash
+        while self.room() and (run := self.ledger.due(now, durable, flush)):
             batch = self.ledger.cut(run, digest(entry_bytes(f.entry) for f in run))
             cut = Cut(*batch.id, batch.first, batch.last, batch.begin, batch.end, batch.digest)
             self.cut_seqs[batch.id] = self.keep(now, CUT, b"", PACK(cut))
-            if not self.room():
-                break
         waiting = self.ledger.export.waiting
         # guards against a crash after the sending: what was sent under a number must be cut the same again
         if not waiting or self.cut_seqs.get(waiting[0], 0) > self.durable():
@@ -381,8 +384,10 @@
         now, batches = int(now_ms()), self.ledger.lose(first, last)
         words = f"records {first} to {last} went for want of room, {len(batches)} batches not exported"
         self.log("ledger-lost", words)
-        if batches:
+        if batches and self.room():
             self.write(self.ledger.book.gap(now, first, last, words), float(now))
+        elif batches:
+            self.miss(float(now))  # the gap is told as soon as there is room
 
     # --- the operators ---
 
@@ -404,6 +409,8 @@
         earlier = sum((e.amounts for e in found), Amounts())
 
         def enter() -> Entry:
+            if not self.room():
+                raise BookError("the store takes nothing just now")
             entry = self.ledger.book.correct(named, earlier, to, reason, int(now_ms()))
             self.write(entry, now_ms(), root)
             return entry
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -317,6 +317,8 @@
     status = rig.part.actor.ask_status(1000)
     assert "ENOSPC" in status["store"]["failing"] and status["counts"]["unsure"] > 0
     assert 0 < status["missed_open"] < 200
+    code, told = rig.part.answer("POST", "/ledger/close", {"period": "1"}, 1000)
+    assert code == 400 and "takes nothing" in told["error"]
     disk.failing_sync = False
     until(lambda: rig.part.actor.ask_status(1000)["missed_open"] == 0)
     status = rig.part.actor.ask_status(1000)
