Bound what waits for a link by what links may give back

The model test, with longer orders, found 9 waiting where 8 is the bound: attempts of an ended link come back on top of the new ones, links times streams at the most. Said so, and tested.

--- a/harrieryoke/paths/decide/pool.py
+++ b/harrieryoke/paths/decide/pool.py
@@ -90,7 +90,7 @@
 
     links: int = 4  # of the host, those under way included
     streams: int = 100  # open attempts of a link
-    queue: int = 1024  # attempts that wait for a link
+    queue: int = 1024  # new attempts that wait for a link; those of ended links may come on top
     dial_ms: float = 250.0  # of a whole race
     delay_ms: float = 50.0  # until the next endpoint is dialled beside the one before
     silent_ms: float = 700.0
