--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -429,7 +429,6 @@
 
     def status(self) -> dict[str, Any]:
         ledger, export = self.ledger, self.ledger.export
-        periods = ledger.book.periods
         money = billed(ledger.book.totals.lines, self.told.prices)
         return {
             "instance": self.instance,
@@ -440,15 +439,8 @@
             "repeats": ledger.book.repeats,
             "late": ledger.book.late,
             "damaged": ledger.damaged[:100],
-            "periods": [
-                {"period": p.number, "begin_ms": periods.begin(p.number), "entries": p.sum.count,
-                 "sealed": p.sealed, "gaps": p.gaps}
-                for p in periods.known.values()
-            ],
-            "totals": [
-                {**line._asdict(), **msgspec.structs.asdict(amounts)}
-                for line, amounts in ledger.book.totals.of().items()
-            ],
+            "periods": ledger.book.periods.rows(),
+            "totals": ledger.book.totals.rows(),
             "billed": [
                 {"period": period, "tenant": tenant, "amount": str(amount)}
                 for (period, tenant), amount in sorted(money.items())
@@ -469,7 +461,7 @@
                 "holes": [[f"{e:x}", a, b] for e, a, b in export.holes],
             },
             "store": None if self.keeper is None else self.keeper.status(),
-        }  # fmt: skip
+        }
 
     def stop(self, timeout_s: float) -> None:
         """What came is entered, and what is entered is brought to the disk."""
--- a/harrieryoke/ledger/commands.py
+++ b/harrieryoke/ledger/commands.py
@@ -11,9 +11,6 @@
 
 from ..checks import ConfigError, read_address
 from ..store.commands import opened
-from ..store.decide.segment import Record
-from ..store.files import RealFiles
-from ..store.store import Reader
 from .decide.book import Book, Line
 from .decide.entry import Amounts
 from .decide.export import ExportState
@@ -47,17 +44,12 @@
 
 def derived(folder: str, period_s: int) -> Ledger:
     """The ledger that the folder's records and its newest snapshot give."""
-    opened(folder)  # names what is no folder
+    reader = opened(folder)
     made = Ledger(Book("", 0, Periods(period_s * 1000, 0), 0), ExportState())
-
-    def visit(record: Record) -> None:
-        made.replay(record.kind, record.seq, record.payload, 0.0)
-
-    reader = Reader(RealFiles(folder))
     if reader.snapshot is not None:
         made.load(reader.snapshot[1], 0.0)
     for record in reader.from_seq(reader.recovery.snapshot + 1):
-        visit(record)
+        made.replay(record.kind, record.seq, record.payload, 0.0)
     made.damaged += [f"{name}: {fence}" for name, fence in reader.recovery.damaged]
     return made
 
@@ -70,14 +62,10 @@
     assert folder is not None
     book = (made := derived(folder, period_s)).book
     return {
-        "periods": [
-            {"period": p.number, "begin_ms": book.periods.begin(p.number), "entries": p.sum.count,
-             "sealed": p.sealed, "gaps": p.gaps}
-            for p in book.periods.known.values()
-        ],
-        "totals": [{**line._asdict(), **msgspec.structs.asdict(a)} for line, a in book.totals.of().items()],
+        "periods": book.periods.rows(),
+        "totals": book.totals.rows(),
         "damaged": made.damaged,
-    }  # fmt: skip
+    }
 
 
 def table(rows: list[dict[str, Any]], columns: tuple[str, ...]) -> None:
--- a/harrieryoke/ledger/decide/book.py
+++ b/harrieryoke/ledger/decide/book.py
@@ -70,8 +70,9 @@
             if period in (None, line.period) and tenant in (None, line.tenant)
         }
 
-    def forget_before(self, period: int) -> None:
-        self.lines = {line: amounts for line, amounts in self.lines.items() if line.period >= period}
+    def rows(self) -> list[dict[str, object]]:
+        """For operators."""
+        return [{**line._asdict(), **msgspec.structs.asdict(a)} for line, a in self.of().items()]
 
 
 class Price(msgspec.Struct, forbid_unknown_fields=True):
--- a/harrieryoke/ledger/decide/periods.py
+++ b/harrieryoke/ledger/decide/periods.py
@@ -78,6 +78,14 @@
         self.forget()
         return period
 
+    def rows(self) -> list[dict[str, object]]:
+        """For operators."""
+        return [
+            {"period": p.number, "begin_ms": self.begin(p.number), "entries": p.sum.count,
+             "sealed": p.sealed, "gaps": p.gaps}
+            for p in self.known.values()
+        ]  # fmt: skip
+
     def forget(self) -> None:
         for number in sorted(self.known)[: max(0, len(self.known) - self.most)]:
             if not self.known[number].sealed:
--- a/harrieryoke/store/decide/commit.py
+++ b/harrieryoke/store/decide/commit.py
@@ -80,14 +80,6 @@
             return Step.SYNC
         return Step.WRITE if self.waiting else Step.WAIT
 
-    def wake_at(self, now: float) -> float | None:
-        """When `step` may say something else without a new record; None for never."""
-        if now < self.not_before:
-            return self.not_before
-        if self.since is not None and self.policy == "interval":
-            return self.since + self.interval_ms
-        return None
-
     def take(self) -> list[Record]:
         """The next write: a group of what waits. It counts as written only after `wrote`."""
         group, size = list[Record](), 0
--- a/harrieryoke/store/decide/segment.py
+++ b/harrieryoke/store/decide/segment.py
@@ -33,7 +33,6 @@
 SNAP = struct.Struct("<8sQQQ")  # magic, the last sequence number in it, size, check
 MOST_BODY = 1 << 20
 CLOSED = 255  # the kind of the record that an orderly close leaves behind
-MOST_KIND = 254
 
 
 class FormatError(ValueError):
