--- a/harrieryoke/cli.py
+++ b/harrieryoke/cli.py
@@ -12,6 +12,7 @@
 from .ledger.commands import ledger
 from .ledger.decide.book import BookError
 from .log import Log
+from .ops_client import OpsError
 from .plugins.commands import plugin
 from .plugins.settings import PluginError
 from .store.commands import store
@@ -105,6 +106,8 @@
         print(f"harrieryoke: configuration: {error}", file=sys.stderr)
     except PluginError as error:
         print(f"harrieryoke: plug-in: {error}", file=sys.stderr)
+    except OpsError as error:
+        print(f"harrieryoke: {error}", file=sys.stderr)
     except (StoreError, BookError) as error:
         print(f"harrieryoke: store: {error}", file=sys.stderr)
     return 2
--- a/harrieryoke/ledger/commands.py
+++ b/harrieryoke/ledger/commands.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 from typing import Annotated, Any
-from urllib.parse import urlencode
 
 import msgspec
 import typer
 
-from ..checks import ConfigError, read_address
+from ..checks import ConfigError
+from ..ops_client import ask
 from ..store.commands import opened
 from .decide.book import Book, Line
 from .decide.entry import Amounts
@@ -25,23 +24,6 @@
 Json = Annotated[bool, typer.Option("--json", help="for machines")]
 
 
-def asked(ops: str, method: str, path: str, **query: object) -> dict[str, Any]:
-    """What the invoker answers; ends the command with its error."""
-    where = read_address("--ops", ops)
-    connection = http.client.HTTPConnection(*where, timeout=10)
-    try:
-        connection.request(method, path + ("?" + urlencode(query) if query else ""))
-        answer = connection.getresponse()
-        told: dict[str, Any] = msgspec.json.decode(answer.read())
-    except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
-        raise ConfigError(f"--ops {ops}: {error}") from None
-    finally:
-        connection.close()
-    if answer.status != 200:
-        raise ConfigError(f"{path}: {told.get('error', answer.status)}")
-    return told
-
-
 def derived(folder: str, period_s: int) -> Ledger:
     """The ledger that the folder's records and its newest snapshot give."""
     reader = opened(folder)
@@ -58,7 +40,8 @@
     if (ops is None) == (folder is None):
         raise ConfigError("one of --ops and --folder is wanted")
     if ops is not None:
-        return asked(ops, "GET", "/ledger")
+        told: dict[str, Any] = ask(ops, "GET", "/ledger")
+        return told
     assert folder is not None
     book = (made := derived(folder, period_s)).book
     return {
@@ -123,7 +106,7 @@
 @ledger.command("close")
 def close_period(period: int, ops: OpsWanted) -> None:
     """Close and seal a period that is over."""
-    print(asked(ops, "POST", "/ledger/close", period=period)["sealed"])
+    print(ask(ops, "POST", "/ledger/close", period=period)["sealed"])
 
 
 @ledger.command()
@@ -138,7 +121,7 @@
 ) -> None:
     """Enter what the call should have come to, as a new entry."""
     query = {"id": id, "calls": calls, "worth": worth, "took": took, "held": held, "reason": reason}
-    told = asked(ops, "POST", "/ledger/correct", **query)
+    told = ask(ops, "POST", "/ledger/correct", **query)
     late = f", late for {told['came']}" if told["came"] >= 0 else ""
     print(f"{told['id']} in period {told['period']}{late}")
 
@@ -146,7 +129,7 @@
 @ledger.command()
 def export(ops: OpsWanted, json: Json = False) -> None:
     """What the collector has not acknowledged, and what was set aside."""
-    told = asked(ops, "GET", "/ledger")["export"]
+    told = ask(ops, "GET", "/ledger")["export"]
     if json:
         print(msgspec.json.encode(told).decode())
     else:
@@ -158,7 +141,7 @@
 def reconcile(period: int, ops: OpsWanted, json: Json = False) -> None:
     """Compare a period with the collector and send it what it lacks; prints what came of the last ones, so
     call it again for this one's."""
-    rows = asked(ops, "POST", "/ledger/reconcile", period=period)["results"]
+    rows = ask(ops, "POST", "/ledger/reconcile", period=period)["results"]
     if json:
         print(msgspec.json.encode(rows).decode())
     else:
@@ -168,5 +151,5 @@
 @ledger.command()
 def again(epoch: str, batch: int, ops: OpsWanted) -> None:
     """Try a batch that was set aside once more."""
-    asked(ops, "POST", "/ledger/again", epoch=epoch, batch=batch)
+    ask(ops, "POST", "/ledger/again", epoch=epoch, batch=batch)
 
--- a/harrieryoke/plugins/commands.py
+++ b/harrieryoke/plugins/commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import sys
 import time
 from pathlib import Path
 from typing import Annotated, Any
@@ -11,6 +10,7 @@
 import msgspec
 import typer
 
+from ..ops_client import ask
 from .decide.trust import TrustedKey
 from .package import read_package, sign, verify
 from .settings import PluginError
@@ -194,7 +194,7 @@
 ) -> None:
     """Have a running invoker read a plug-in anew; say what became of it, with 1 if it does not serve."""
     before = {p["name"]: (p["serving"], p["last_swap"]) for p in ask(ops, "GET", "/plugins")["plugins"]}
-    ask(ops, "POST", "/plugins/swap" + (f"?name={name}" if name else ""))
+    ask(ops, "POST", "/plugins/swap", **({"name": name} if name else {}))
     until, left, good = time.monotonic() + wait, [n for n in before if name in (None, n)], True
     while left and time.monotonic() < until:
         time.sleep(0.1)
@@ -208,22 +208,3 @@
     for each in left:
         print(f"{each}: still on trial")
     raise typer.Exit(0 if good and not left else 1)
-
-
-def ask(ops: str, method: str, path: str) -> Any:
-    """One request to the operators' HTTP."""
-    import http.client
-
-    connection = http.client.HTTPConnection(ops, timeout=5)
-    try:
-        connection.request(method, path)
-        answer = connection.getresponse()
-        told = msgspec.json.decode(answer.read())
-    except (OSError, http.client.HTTPException, msgspec.MsgspecError) as error:
-        raise PluginError(f"{ops}: {error}") from None
-    finally:
-        connection.close()
-    if answer.status >= 400:
-        print(f"harrieryoke: {ops}{path}: {told.get('error', answer.status)}", file=sys.stderr)
-        raise typer.Exit(2)
-    return told
