Send what waits without an own limit over all hosts, and try a place before ordering a copy there

Seen: of 4139 calls refused without having been sent, a note at the refusal said for 2978 that the own attempts at all hosts had met their limit, as in "WHY AS att 3 alim 2.4 strain 0.97 ... usable 72 | 5674:C/0/2.0/0.30": no attempt of ours at a host that stood ready. Of 11685 orders 10460 found the copy standing, put there by another invoker. The hot function grew from 6 hosts to 9 in ten seconds, while 30 hosts of 72 had a third of the mean load. 322 of 6200 calls were given up at work after 1.3 s ("+0:go2284 +1315:CANCELLED") at hosts that answered others all the while. Ruled out: full descriptors, dials (0 failed), processor time (0.17 s at most in a second).

Fault, each in the module: choose and dispatch held calls against all.limit, which starts at 16 attempts a host divided by the front ends, and fell by 0.25 with each late answer; it is gone. more_room ordered each further copy of a function by itself, one at a time; now a place of the order is first tried by a call, an order goes where that missed, and as many are out as the width lacks. overdue took a host out and gave the call up where nothing had come from it since, which proves nothing with one call in ten seconds there; now the ask that goes out then has to stay unanswered.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -33,7 +33,7 @@
         self.belief_life = settings.keep_alive * max(1.0, settings.front_ends / 4)  # others use copies too
         self.shortest_aim = min(c.aim for c in settings.classes)
         self.sweep = max(settings.tick, self.shortest_aim / 50)
-        self.all = Load(STRAINED / 2)  # of all workers together
+        self.strain = STRAINED / 2  # of all workers together
         rates = [t.allowance_per_s / settings.front_ends for t in settings.tenants]
         self.allowances = {n: Bucket(rate=rate) for n, rate in enumerate(rates) if rate}
         if settings.list_on_request:
@@ -77,7 +77,6 @@
             if w.entry.drain is Drain.GONE and not w.leaving:
                 w.leaving = True
                 self.later(self.s.keep_alive, self.part_with, w)
-        self.all.limit = self.all.limit or FIRST_LIMIT * len(self.workers) / self.s.front_ends
 
     def part_with(self, w: Worker) -> None:
         """Forgets a worker that has gone, once nothing of ours is out there. Guards the memory and all that
@@ -124,7 +123,7 @@
 
     def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
         own = exp2(-8 * (self.now - w.heard) / self.s.keep_alive)
-        return self.all.strain + (w.load.strain - self.all.strain) * own
+        return self.strain + (w.load.strain - self.strain) * own
 
     def usual_time(self, w: Worker) -> float:
         return max(self.strain_at(w), STRAINED / 4) * self.shortest_aim
@@ -175,7 +174,8 @@
         if w.served:
             w.silent.add(f.class_index)
         if w.heard <= sent and not w.out:
-            self.take_out(w, dead=False)
+            self.take_out(w, dead=False)  # little goes to each of many workers: what is out waits for the ask
+            return self.later(self.s.connect_timeout, self.overdue, key)
         r = self.requests.get(key[0])
         again = r and r.kind.effect is Effect.SAFE and r.attempts < self.s.max_attempts
         if again and (w.out or hung):
@@ -283,15 +283,17 @@
                 held -= g.copies[wid].count * g.memory
                 self.drop(g, wid)
 
-    def loading(self, f: Function) -> bool:
-        """At the cap, or an order is out that has not overstayed its time: no other may go elsewhere."""
+    def loading(self, f: Function, most: int = 1) -> bool:
+        """At the cap, or that many orders are out that have not overstayed their time: no other may go."""
         since = self.now - 4 * f.load_time * self.stretch
-        return self.ordering >= self.order_cap or any(at > since for at in f.pending.values())
+        return self.ordering >= self.order_cap or sum(at > since for at in f.pending.values()) >= most
 
     def place(self, f: Function) -> int | None:
         """The first worker along the order that lacks the function and may be loaded; warm ones first."""
         order = self.advised(f, next((r.event.bias for r in f.waiting if r.event.bias), None))
         free = (wid for wid in order if wid not in f.copies and wid not in f.pending)
+        if f.copies and self.unseen:  # others may have put one there: a request tries the place first
+            free = (wid for wid in free if f.missed.get(wid, NEVER) > self.now)
         both = tee(wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f, 0.0))
         return next((wid for wid in both[0] if self.warmth(self.workers[wid]) >= 0.5), next(both[1], None))
 
@@ -340,12 +342,16 @@
         self.wishes.clear()
 
     def more_room(self, f: Function) -> None:
-        """One added copy along the order once all believed ones are busy, full or strained, or too few."""
-        if f.copies and not self.loading(f) and (len(f.copies) < int(f.width) or not any(
+        """Added copies along the order, up to the width; a place more once all believed ones are busy, full
+        or strained."""
+        if f.copies and not any(
             f.mine.get(wid, 0) + copy.others < f.lanes * copy.count and self.strain_at(w) < STRAINED
             and not self.doubted(w, f) and max(w.full_until.values(), default=NEVER) <= self.now
             for wid, w, copy in self.believed(f)
-        )) and (place := self.place(f)) is not None:  # fmt: skip
+        ):  # fmt: skip
+            f.width = max(f.width, min(len(self.workers), len(f.copies) + 1.0))
+        more = int(f.width) - len(f.copies)
+        if f.copies and more > 0 and not self.loading(f, more) and (place := self.place(f)) is not None:
             self.order(f, place, 0.75)
 
     # --- choosing ---
@@ -355,9 +361,6 @@
         worth = r.worth * (r.kind.late_worth if self.now + f.usual / 2 > r.aimed else 1.0)
         return worth if self.s.worth_by_work else worth / f.usual
 
-    def late(self, f: Function, r: Request) -> bool:
-        return self.now + f.usual / 2 > r.aimed
-
     def may_go(self, r: Request, w: Worker) -> bool:
         """Rule two: what may have run goes out again only as its class allows."""
         kind = r.kind
@@ -369,7 +372,7 @@
 
     def choose(self, f: Function, r: Request) -> int | None:
         """The copy with fewest attempts for its lanes and its worker's pace; a draw stands for the unseen."""
-        if len(self.attempts) >= self.all.limit or (self.all.strain > 0.75 * STRAINED and self.late(f, r)):
+        if self.strain > 0.75 * STRAINED and self.now + f.usual / 2 > r.aimed:
             return None  # what comes too late anyway must not make others late
         best, least, bias = None, (True, float("inf")), r.event.bias or {}
         for wid, w, copy in self.candidates(f, r):
@@ -399,9 +402,8 @@
     def dispatch(self, f: Function) -> None:
         f.waiting, kept = [r for r in f.waiting if not r.done], []
         stuck: list[int | None] = []  # tenants whose requests, free to go, found no room just now
-        full = len(self.attempts) >= self.all.limit  # then nothing can go: no need to look at each
-        for r in f.waiting if full else sorted(f.waiting, key=lambda r: (-self.value(r, f), r.event.due)):
-            idle = full or (r.event.tenant in stuck and (f.copies or r.attempts))
+        for r in sorted(f.waiting, key=lambda r: (-self.value(r, f), r.event.due)):
+            idle = r.event.tenant in stuck and (f.copies or r.attempts)
             if not idle and (wid := self.choose(f, r)) is not None:
                 w = self.workers[wid]
                 self.later(self.patience(w, f), self.overdue, self.book(r, f, w))
@@ -411,11 +413,8 @@
                 stuck += [] if r.ran else [r.event.tenant]
         f.waiting = kept
         self.more_room(f)
-        self.held.pop(f.name, None)
-        if kept:
-            self.held[f.name] = f
-            if not f.looked:
-                self.later(self.sweep + (self.now - kept[-1].arrived) / 8, self.look, f)
+        if kept and not f.looked:
+            self.later(self.sweep + (self.now - kept[-1].arrived) / 8, self.look, f)
             f.looked = True
 
     def look(self, f: Function) -> None:
@@ -478,7 +477,7 @@
         if (known := self.unbook(e.request, e.attempt)) is None:
             return
         w, f, sent = known
-        self.touched |= self.held if len(self.attempts) + 1 >= self.all.limit else {f.name: f}
+        self.touched[f.name] = f
         r = self.requests.get(e.request)
         self.learn(e, w, f, r, sent)
         if r and e.outcome not in NEVER_RAN:
@@ -526,15 +525,14 @@
         told = told and not (unanswered and self.hung(w, f, sent))
         if told and (e.outcome is Outcome.OK or unanswered):
             # what never came back tells of a crowd too, else many front ends keep each other's queues full
-            took, least = min(3.0, e.took / aim), LEAST_LIMIT / self.s.front_ends
-            self.adapt(w.load, took, len(w.flying), least, 0.05 * w.load.limit)
-            self.adapt(self.all, took, len(self.attempts), 2 * least * len(self.workers), 0.25)
+            self.adapt(w.load, min(3.0, e.took / aim), len(w.flying))
 
-    def adapt(self, load: Load, took: float, flying: int, least: float, step: float) -> None:
+    def adapt(self, load: Load, took: float, flying: int) -> None:
         """Fewer attempts at a time where answers come near the aim, more where they are quick and wanted."""
+        self.strain += 0.1 * (took - self.strain)
         load.strain += 0.1 * (took - load.strain)
         if load.strain > STRAINED:
-            load.limit = max(1.0, least, load.limit - step)
+            load.limit = max(1.0, LEAST_LIMIT / self.s.front_ends, 0.95 * load.limit)
         elif flying + 1 > 0.7 * load.limit:
             load.limit += 0.2
 
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -135,7 +135,6 @@
         self.out: list[Action] = []
         self.workers: dict[int, Worker] = {}
         self.functions: dict[str, Function] = {}
-        self.held: dict[str, Function] = {}
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], tuple[Worker, Function, float]] = {}
         self.agenda: list[tuple[float, int, Callable[[Any], None], Any]] = []  # a heap
