--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -75,7 +75,7 @@
             assert window <= s.fall_multiple * grown * usual, f"pushed over {at - started} ms after its start"
 
 
-@pytest.mark.parametrize("front_ends", [1, 3, 60])
+@pytest.mark.parametrize("front_ends", [1, 3, 20, 60, 200])
 def test_all_front_ends_together_do_not_push_a_cold_worker_over(front_ends: int) -> None:
     """The least share was one send a window for each front end: at 60 that is 60 a window."""
     fleet = Fleet(front_ends, 4)
