Give cold hosts places of the hash order by their warmth, and try the next copy past a budget

Cause: `place` put every new copy on hosts of half warmth or more, and `candidates` tried only warm ones, so that what the old hosts had held moved to the 16 that stayed. `choose` let a call wait for the budget of the best copy, cold, where another copy was idle. `within_budget` divided by hosts that had already gone. Ruled out: loads (305 orders in 2 s ended well, none failed), dials (no call without a connection), refusals by budget in the logs before 10 s (none). Change: the order is a weighted rendezvous: a host leads for as many functions as its warmth bears, the same at every invoker, made anew each sixteenth of the cold period. Each call takes the cheapest copy whose budget allows it. The budget divides by the most hosts that took calls at once. A new host's budget begins spread, as a restarted one's did.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -1,8 +1,8 @@
 """All decisions of the router (docs/design.md). `interface.py` has its interface, `state.py` its records."""
 
 from collections.abc import Callable, Iterator
-from itertools import islice, tee
-from math import exp2, sqrt
+from itertools import islice
+from math import exp2, log1p, sqrt
 from random import Random
 from typing import Any
 
@@ -63,15 +63,14 @@
         for e in event.workers:
             started = NEVER if e.started is None else e.started
             first = Load(STRAINED / 2, max(2.0, FIRST_LIMIT / self.s.front_ends))
-            if e.worker not in self.workers:
-                self.workers[e.worker] = Worker(e, started, digest(str(e.worker)), first)
-            w = self.workers[e.worker]
+            w = self.workers.setdefault(e.worker, Worker(e, NEVER, digest(str(e.worker)), first))
             if started > w.started:
                 self.back(w)
                 self.begin_cold(w, started)
                 w.slow, w.load, w.backoff = 1.0, first, 0.0
             w.entry, w.up = e, e.drain is Drain.UP
             self.zones[e.zone] = 0  # news of a zone: it is worth a call again
+        self.ups = max(self.ups, sum(w.up for w in self.workers.values()))
         for w in self.workers.values():
             if w.entry.drain is Drain.GONE and not w.leaving:
                 w.leaving = True
@@ -90,6 +89,7 @@
     def begin_cold(self, w: Worker, started: float) -> None:
         """It has started anew: its copies are gone; its budget begins spread over the front ends."""
         w.started, w.budget, w.doubts = max(w.started, started), Bucket(self.rng.random(), self.now), {}
+        self.warm_at = max(self.warm_at, w.started + self.s.cold_period)
         w.silent.clear()
         w.served.clear()
         self.forget(w.entry.worker)
@@ -105,22 +105,20 @@
     def doubted(self, w: Worker, f: Function) -> bool:
         return f.class_index in w.doubts and w.doubts[f.class_index][0] > self.now
 
-    def open(self, wid: int, f: Function, least: float = 1.0) -> bool:
-        w = self.workers[wid]
-        return self.usable(w) and not self.doubted(w, f) and self.warmth(w) >= least
+    def open(self, wid: int, f: Function) -> bool:
+        return self.usable(self.workers[wid]) and not self.doubted(self.workers[wid], f)
 
     def warmth(self, w: Worker) -> float:
         grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
         return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
 
     def has_room(self, w: Worker, r: Request) -> bool:
-        """Own attempts within the worker's limit, and no full answer lately."""
         return len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
 
     def within_budget(self, w: Worker) -> bool:
         """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
         of the fatal multiple of what a warm one gets from us, in fractions where many share it."""
-        share = self.warmth(w) * self.s.fall_multiple / 2 * self.calls / len(self.workers) / self.s.keep_alive
+        share = self.warmth(w) * self.s.fall_multiple / 2 * self.calls / self.ups / self.s.keep_alive
         return self.warmth(w) >= 1 or w.budget.take(self.now, share, max(1.0, share * self.s.fall_time / 2))
 
     def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
@@ -217,12 +215,16 @@
     # --- copy table ---
 
     def order_for(self, f: Function) -> list[int]:
-        """The function's hash order of workers, the same at every front end."""
-        if len(f.order) != len(self.workers):
-            mixed = {wid: (f.digest ^ w.digest) * w.digest % (1 << 64) for wid, w in self.workers.items()}
-            f.order = sorted(mixed, key=mixed.__getitem__)
+        """The function's hash order of workers, the same at every front end, by what each can bear by now."""
+        if len(f.order) != len(self.workers) or f.order_until <= self.now:
+            f.order = sorted(self.workers, key=lambda wid: self.rank(f, self.workers[wid]))
+            f.order_until = self.now + self.s.cold_period / 16 if self.now < self.warm_at else float("inf")
         return f.order
 
+    def rank(self, f: Function, w: Worker) -> float:  # a cold one leads for fewer functions, not for none
+        mixed = ((f.digest ^ w.digest) * w.digest % (1 << 64) >> 11) / (1 << 53)
+        return -log1p(-mixed) / self.warmth(w)
+
     def advised(self, f: Function, bias: Any) -> list[int]:
         """The hash order, with what advice prefers first and what it avoids last."""
         return sorted(self.order_for(f), key=lambda wid: bias.get(wid, 1.0)) if bias else self.order_for(f)
@@ -295,13 +297,12 @@
         return self.ordering >= self.order_cap or sum(at > since for at in f.pending.values()) >= most
 
     def place(self, f: Function) -> int | None:
-        """The first worker along the order that lacks the function and may be loaded; warm ones first."""
+        """The first worker along the order that lacks the function and may be loaded."""
         order = self.advised(f, next((r.event.bias for r in f.waiting if r.event.bias), None))
         free = (wid for wid in order if wid not in f.copies and wid not in f.pending)
         if f.copies and self.unseen:  # others may have put one there: a request tries the place first
             free = (wid for wid in free if f.missed.get(wid, NEVER) > self.now)
-        both = tee(wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f, 0.0))
-        return next((wid for wid in both[0] if self.warmth(self.workers[wid]) >= 0.5), next(both[1], None))
+        return next((wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f)), None)
 
     def order_ended(self, e: i.OrderEnded) -> None:
         if not (w := self.workers.get(e.worker)):
@@ -378,7 +379,7 @@
         """The copy with fewest attempts for its lanes and its worker's pace; a draw stands for the unseen."""
         if self.strain > 0.75 * STRAINED and self.now + f.usual / 2 > r.aimed:
             return None  # what comes too late anyway must not make others late
-        best, least, bias = None, (True, float("inf")), r.event.bias or {}
+        costs: list[tuple[bool, float, int]] = []
         for wid, w, copy in self.candidates(f, r):
             lanes, mine, draw = f.lanes * copy.count, f.mine.get(wid, 0), self.rng.random()
             if mine >= 3 * lanes or not self.has_room(w, r):
@@ -388,10 +389,10 @@
                 continue
             queue = max(0.0, mine + copy.others + 1 - lanes) / lanes
             busy = 1 + len(w.flying) + self.unseen * (draw + self.held_at(w))
-            cost = (self.doubted(w, f), busy * self.slowness(w, usual) * (1 + queue) * bias.get(wid, 1.0))
-            if cost < least and not self.on_trial(w, f):
-                best, least = wid, cost
-        return best if best is None or self.within_budget(self.workers[best]) else None
+            cost = busy * self.slowness(w, usual) * (1 + queue) * (r.event.bias or {}).get(wid, 1.0)
+            if not self.on_trial(w, f):
+                costs.append((self.doubted(w, f), cost, wid))
+        return next((wid for *_, wid in sorted(costs) if self.within_budget(self.workers[wid])), None)
 
     def candidates(self, f: Function, r: Request) -> Iterator[tuple[int, Worker, Copy]]:
         """Believed copies, and the first places of the order where others put theirs, by its width."""
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -109,6 +109,7 @@
     missed: dict[int, float] = field(default_factory=dict)  # workers that missed it, until when
     waiting: list[Request] = field(default_factory=list)
     order: list[int] = field(default_factory=list)
+    order_until: float = NEVER  # when it is to be made anew: hosts warm up
 
 
 @dataclass(slots=True)
@@ -133,6 +134,8 @@
         self.now = self.stalled = self.last_arrival = self.heard = 0.0
         self.zones: dict[int, int] = {}  # zone -> workers that went out since it was last heard
         self.held = 0.0  # mean of what reports told
+        self.ups = 1  # the most workers that took calls at once, of those not forgotten
+        self.warm_at = NEVER  # when the last one that started is warm
         self.calls = 0.0  # own calls of about the last keep-alive
         self.timer = NEVER
         self.outs = self.ordering = self.serial = 0
@@ -160,13 +163,15 @@
                 w.entry, w.up = replace(w.entry, drain=Drain.GONE), False
 
     def forget(self, wid: int) -> None:
-        """Strikes a worker's copies."""
+        """Strikes a worker's copies, and the orders that it had a place in."""
         for f in self.functions.values():
             f.copies.pop(wid, None)
+            f.order = []
 
     def strike(self, wid: int) -> None:
         """Forgets a worker altogether."""
         zone = self.workers.pop(wid).entry.zone
+        self.ups = max(1, sum(w.up for w in self.workers.values()))
         if all(w.entry.zone != zone for w in self.workers.values()):
             self.zones.pop(zone, None)
         for f in self.functions.values():
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -8,6 +8,7 @@
 
 from harrieryoke import interface as i
 from harrieryoke.brain import Router
+from harrieryoke.state import Function, digest
 
 from .rig import SETTINGS, workers
 from .test_fleet import ANSWER_MS, Fleet
@@ -132,3 +133,34 @@
     before = len(mesh.sends)
     mesh.play(2000, 100, 12)
     assert len(mesh.sends) - before >= 150
+
+
+@pytest.mark.parametrize("front_ends", [3, 40, 200])
+def test_hosts_that_replace_most_take_calls_while_they_are_cold(front_ends: int) -> None:
+    """Seen where 24 of 40 were replaced: all went to the 16 old ones, 40 calls at a time at each, while the
+    new ones held one or none."""
+    mesh = Mesh(front_ends, 10)
+    mesh.play(4000, 100, 61)
+    left = tuple(i.WorkerEntry(n, drain=i.Drain.DRAINING) for n in range(1, 7))
+    new = tuple(i.WorkerEntry(n, started=mesh.now) for n in range(11, 17))
+    mesh.tell(i.WorkersListed(i.ListScope.CHANGES, left + new))
+    mesh.closed.update(range(1, 7))
+    started = mesh.now
+    mesh.play(RULES.cold_period, 100, 61)
+    late = [w for at, _, w in mesh.sends if at > started + RULES.cold_period / 4]
+    assert sum(w > 10 for w in late) >= len(late) / 20  # before: one in 600
+
+
+@pytest.mark.parametrize("share", [0.2, 0.6, 1.0])
+def test_a_worker_leads_the_order_of_as_many_functions_as_its_warmth_bears(share: float) -> None:
+    mesh = Mesh(2, 5)
+    grown = (share - RULES.cold_share) / (1 - RULES.cold_share)
+    entry = i.WorkerEntry(5, started=mesh.now - grown * RULES.cold_period)
+    mesh.tell(i.WorkersListed(i.ListScope.CHANGES, (entry,)))
+    heads = []
+    for router in mesh.routers:
+        router.now = mesh.now
+        functions = [Function(f"f{n}", digest(f"f{n}"), 0, LOAD_MS, 100) for n in range(3000)]
+        heads.append([router.order_for(f)[0] for f in functions])
+    assert heads[0] == heads[1]
+    assert heads[0].count(5) / 3000 == pytest.approx(share / (4 + share), abs=0.03)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -375,3 +375,19 @@
                 rig.loaded(worker, function=name)
         rig.wait(20)
     assert 6 < len(rig.orders) <= 6 + 0.3 * 60
+
+
+def test_a_call_beyond_the_budget_of_a_cold_worker_goes_to_the_next_copy_at_once() -> None:
+    """It waited for the budget of the best one, a second and more, while another stood idle."""
+    rig = Rig()
+    first = covered(rig)
+    other = next(n for n in range(1, 5) if n != first)
+    rig.give(i.WorkersListed(i.ListScope.CHANGES, (i.WorkerEntry(first, cell=first // 2, started=rig.now),)))
+    for n in (first, other):
+        rig.router.believe(rig.router.functions["f"], n)
+    slower = rig.router.workers[other]  # not the first choice
+    slower.slow, slower.heard = 8.0, rig.now
+    rig.router.workers[first].budget.left = 1.0
+    asked = [i.RequestArrived(n, 0, "f", rig.now + 2000, lanes=4) for n in range(50, 55)]
+    went = [worker for e in asked for _, worker in sends(rig.give(e))]
+    assert len(went) == 5 and first in went and went.count(other) >= 2
