--- a/harrieryoke/budgets/decide/spender.py
+++ b/harrieryoke/budgets/decide/spender.py
@@ -89,8 +89,15 @@
     """`take` before a call goes to the module, `settle` at its final answer, `turn` at least once in
     `retry_ms`; what `turn` gives is sent to the duty's holder. Times are the own monotonic clock's."""
 
-    def __init__(self, invoker: str, life: int, sizes: Sizes, seed: int, key_ms: float = 600_000.0,
-                 most_backoff_ms: float = 60_000.0) -> None:  # fmt: skip
+    def __init__(
+        self,
+        invoker: str,
+        life: int,
+        sizes: Sizes,
+        seed: int,
+        key_ms: float = 600_000.0,
+        most_backoff_ms: float = 60_000.0,
+    ) -> None:
         self.invoker, self.life, self.sizes, self.rng = invoker, life, sizes, Random(seed)
         self.key_ms, self.most_backoff = key_ms, most_backoff_ms
         self.estimates = Estimates()
@@ -105,8 +112,9 @@
 
     # --- calls ---
 
-    def take(self, project: str, function: str, call: Hashable, key: Hashable | None,
-             now: float) -> Taken | Empty | Unknown:  # fmt: skip
+    def take(
+        self, project: str, function: str, call: Hashable, key: Hashable | None, now: float
+    ) -> Taken | Empty | Unknown:
         """`call` is new. A repeat of a keyed call is set aside for no more than what was not paid yet."""
         p = self.project(project)
         if p is None:
--- a/harrieryoke/budgets/decide/tree.py
+++ b/harrieryoke/budgets/decide/tree.py
@@ -78,10 +78,17 @@
         self.nodes = {root: Node(root, "")}
         self.kids: dict[str, set[str]] = {root: set()}
         self.handlers: dict[type[Any], Callable[[int, Any, Node], Refused | None]] = {
-            c.Delegate: self.delegate, c.TakeBack: self.take_back, c.Move: self.move, c.Close: self.close,
-            c.Suspend: lambda _, do, n: self.alter((n, {"suspended": do.on})), c.Set: self.terms,
-            c.Appoint: self.appoint, c.Lend: self.lend, c.Borrow: self.borrow, c.Repay: self.repay,
-        }  # fmt: skip
+            c.Delegate: self.delegate,
+            c.TakeBack: self.take_back,
+            c.Move: self.move,
+            c.Close: self.close,
+            c.Suspend: lambda _, do, n: self.alter((n, {"suspended": do.on})),
+            c.Set: self.terms,
+            c.Appoint: self.appoint,
+            c.Lend: self.lend,
+            c.Borrow: self.borrow,
+            c.Repay: self.repay,
+        }
 
     def state(self) -> State:
         return State(self.owners, self.period, list(self.nodes.values()))
--- a/harrieryoke/carry.py
+++ b/harrieryoke/carry.py
@@ -87,23 +87,56 @@
     newest counts."""
     names = [c.name for c in router.s.classes]
     workers = [
-        CarriedWorker(wid, w.started, w.load.strain, w.load.limit, w.slow, w.out, w.dead, w.backoff, w.held,
-                      w.told, w.heard, w.cut, w.budget.left, w.budget.at,
-                      {names[n]: told for n, told in sorted(w.doubts.items())},
-                      {names[n]: at for n, at in sorted(w.served.items())})
+        CarriedWorker(
+            wid,
+            w.started,
+            w.load.strain,
+            w.load.limit,
+            w.slow,
+            w.out,
+            w.dead,
+            w.backoff,
+            w.held,
+            w.told,
+            w.heard,
+            w.cut,
+            w.budget.left,
+            w.budget.at,
+            {names[n]: told for n, told in sorted(w.doubts.items())},
+            {names[n]: at for n, at in sorted(w.served.items())},
+        )
         for wid, w in router.workers.items()
-    ]  # fmt: skip
+    ]
     functions = [
-        CarriedFunction(f.name, names[f.class_index], f.load_time, f.usual, f.memory, f.lanes,
-                        router.now - router.stalled - f.used, f.width, f.alone,
-                        [CarriedCopy(wid, c.count, c.seen, c.others) for wid, c in f.copies.items()],
-                        list(f.missed.items()))
+        CarriedFunction(
+            f.name,
+            names[f.class_index],
+            f.load_time,
+            f.usual,
+            f.memory,
+            f.lanes,
+            router.now - router.stalled - f.used,
+            f.width,
+            f.alone,
+            [CarriedCopy(wid, c.count, c.seen, c.others) for wid, c in f.copies.items()],
+            list(f.missed.items()),
+        )
         for f in router.functions.values()
-    ]  # fmt: skip
+    ]
     body = msgspec.json.encode(
-        Carried(workers, functions, list(router.ordered), list(router.arrivals), router.calls,
-                router.last_arrival, router.strain, router.held, router.stretch, router.order_cap)
-    )  # fmt: skip
+        Carried(
+            workers,
+            functions,
+            list(router.ordered),
+            list(router.arrivals),
+            router.calls,
+            router.last_arrival,
+            router.strain,
+            router.held,
+            router.stretch,
+            router.order_cap,
+        )
+    )
     return b"%d %d\n" % (VERSION, zlib.crc32(body)) + body
 
 
@@ -128,8 +161,11 @@
     """Gives a router that knows its list, and has had no request yet, what another has learned. Hosts that
     are not in its list are left out; one that started since is as cold as its list says."""
     kinds = router.s.live()
-    fresh = {w.worker for w in told.workers
-             if w.worker in router.workers and w.started >= router.workers[w.worker].started}  # fmt: skip
+    fresh = {
+        w.worker
+        for w in told.workers
+        if w.worker in router.workers and w.started >= router.workers[w.worker].started
+    }
     router.ordered.extend(sorted(told.ordered))
     router.arrivals.extend(sorted(told.arrivals))
     router.calls, router.last_arrival = told.calls, told.last_arrival
--- a/harrieryoke/cli.py
+++ b/harrieryoke/cli.py
@@ -19,8 +19,13 @@
 from .store.commands import store
 from .store.settings import StoreError
 
-app = typer.Typer(add_completion=False, no_args_is_help=False, pretty_exceptions_enable=False,
-                  rich_markup_mode=None, help="An invoker before model hosts.")  # fmt: skip
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="An invoker before model hosts.",
+)
 app.add_typer(plugin, name="plugin")
 app.add_typer(ledger, name="ledger")
 app.add_typer(store, name="store")
@@ -55,8 +60,10 @@
     triggers = "MQTT is off" if mqtt is None else f"{len(mqtt.trigger)} MQTT triggers"
     plugins = 0 if service.gate is None else len(told.plugins.use)
     where = f"{config.listen[0]}:{config.listen[1]}"
-    print(f"{config.name}: {len(config.settings.classes)} classes, listens on {where}, {triggers}, "
-          f"{plugins} plug-ins")  # fmt: skip
+    print(
+        f"{config.name}: {len(config.settings.classes)} classes, listens on {where}, {triggers}, "
+        f"{plugins} plug-ins"
+    )
 
 
 @app.command()
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -19,8 +19,12 @@
 
 READS = 3  # of a file that changes meanwhile
 # Limits' field -> where the settings' ceilings have it: what may change while the invoker serves
-CEILED = {"open_calls": "open-cap", "streams_per_link": "streams-per-conn", "dial_ms": "dial-timeout",
-          "link_idle_ms": "conn-idle"}  # fmt: skip
+CEILED = {
+    "open_calls": "open-cap",
+    "streams_per_link": "streams-per-conn",
+    "dial_ms": "dial-timeout",
+    "link_idle_ms": "conn-idle",
+}
 NAME_MOST = 256
 
 
@@ -92,8 +96,10 @@
     that can go over the wire. Raises ValueError, which names the key."""
     zones, kinds = (tuple(str(n) for n in read_list(wire, key)) for key in ("zones", "flavors"))
     settings = replace(read_settings(wire), zones=zones, kinds=kinds)
-    for key, names in (("classes", [c.name for c in settings.classes]),
-                       ("realms", [t.name for t in settings.tenants])):  # fmt: skip
+    for key, names in (
+        ("classes", [c.name for c in settings.classes]),
+        ("realms", [t.name for t in settings.tenants]),
+    ):
         for n, name in enumerate(names):
             if name in names[:n]:
                 raise ValueError(f"{key}[{n}].name: a second {name!r}")
--- a/harrieryoke/core/calls.py
+++ b/harrieryoke/core/calls.py
@@ -32,9 +32,19 @@
     def keyed(self, name: str) -> bool:
         return self.settings.classes[self.classes[name]].effect is i.Effect.KEYED
 
-    def make(self, name: str, rid: str, function: str, budget: float, taken: float, body: bytes,
-             key: str | None, tenant: str | None, extras: Mapping[str, float],
-             topic: str = "") -> Call:  # fmt: skip
+    def make(
+        self,
+        name: str,
+        rid: str,
+        function: str,
+        budget: float,
+        taken: float,
+        body: bytes,
+        key: str | None,
+        tenant: str | None,
+        extras: Mapping[str, float],
+        topic: str = "",
+    ) -> Call:
         for wrong, text in (
             (not HEX16.match(rid), "id: 16 hex digits are wanted"),
             (bool(function or not topic) and not HEX16.match(function), "function: 16 hex digits wanted"),
@@ -49,6 +59,17 @@
         ):
             if wrong:
                 raise BadCall(text)
-        return Call(rid, self.classes[name], function, taken + budget, body, key,
-                    None if tenant is None else self.tenants[tenant], extras.get("memory_mb", 0.0),
-                    int(extras.get("lanes", 1.0)), extras.get("load_ms"), taken, topic)  # fmt: skip
+        return Call(
+            rid,
+            self.classes[name],
+            function,
+            taken + budget,
+            body,
+            key,
+            None if tenant is None else self.tenants[tenant],
+            extras.get("memory_mb", 0.0),
+            int(extras.get("lanes", 1.0)),
+            extras.get("load_ms"),
+            taken,
+            topic,
+        )
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -45,8 +45,9 @@
 class ModuleActor(Actor):
     """Owns the router, the request table, the timers and what it was told of the hosts' mailboxes."""
 
-    def __init__(self, settings: i.Settings, seed: int, limits: Limits, log: Log,
-                 clock: Callable[[], float] = now_ms) -> None:  # fmt: skip
+    def __init__(
+        self, settings: i.Settings, seed: int, limits: Limits, log: Log, clock: Callable[[], float] = now_ms
+    ) -> None:
         super().__init__("module", limits.module_mailbox, log)
         self.settings, self.seed, self.clock = settings, seed, clock
         self.gate: Gate | None = None  # plug-ins, where the operator has some
@@ -65,14 +66,28 @@
         self.leading = True  # clients come to this process, not to one that has taken over
         self.orders_from = 0.0  # after a fault in the module: no load orders before this
         self.readers: dict[type, Callable[[Any, float], i.Event | None]] = {
-            Taken: self.taken, Withdrawn: self.withdrawn, TaskEnded: self.task_ended,
-            Listed: self.listed, Stopping: self.stopping, Counted: self.counted,
-            Wished: self.wished, Visit: self.visit, Leading: self.lead,
-            Retuned: self.retuned}  # fmt: skip
+            Taken: self.taken,
+            Withdrawn: self.withdrawn,
+            TaskEnded: self.task_ended,
+            Listed: self.listed,
+            Stopping: self.stopping,
+            Counted: self.counted,
+            Wished: self.wished,
+            Visit: self.visit,
+            Leading: self.lead,
+            Retuned: self.retuned,
+        }
         self.doers: dict[type, Callable[[Any, float], None]] = {
-            i.StartAttempt: self.start_attempt, i.CancelAttempt: self.cancel_attempt, i.Refuse: self.refuse,
-            i.Fail: self.fail, i.OrderCopies: self.order_copies, i.DropCopies: self.drop_copies,
-            i.Probe: self.probe, i.SetTimer: self.set_timer, i.Note: self.note}  # fmt: skip
+            i.StartAttempt: self.start_attempt,
+            i.CancelAttempt: self.cancel_attempt,
+            i.Refuse: self.refuse,
+            i.Fail: self.fail,
+            i.OrderCopies: self.order_copies,
+            i.DropCopies: self.drop_copies,
+            i.Probe: self.probe,
+            i.SetTimer: self.set_timer,
+            i.Note: self.note,
+        }
 
     # --- what fronts and hosts say ---
 
@@ -269,9 +284,17 @@
         if entry is not None and m.outcome is i.Outcome.OK:
             self.table.serve(entry, m.body)
         return i.AttemptEnded(
-            task.request, task.worker, task.number, m.outcome, took, task.request not in self.table.entries,
-            m.found, m.load_failed, m.crowd, m.report,
-        )  # fmt: skip
+            task.request,
+            task.worker,
+            task.number,
+            m.outcome,
+            took,
+            task.request not in self.table.entries,
+            m.found,
+            m.load_failed,
+            m.crowd,
+            m.report,
+        )
 
     # --- actions ---
 
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -66,9 +66,20 @@
         self.numbers[call], self.rids[call.rid] = self.serial, self.serial
         self.times.schedule(entry, due)
         self.figures.open = len(self.entries)
-        return i.RequestArrived(entry.number, call.class_index, call.function, due, call.tenant, None,
-                                call.memory, call.lanes, call.load_time, False, call.bias,
-                                call.wanted)  # fmt: skip
+        return i.RequestArrived(
+            entry.number,
+            call.class_index,
+            call.function,
+            due,
+            call.tenant,
+            None,
+            call.memory,
+            call.lanes,
+            call.load_time,
+            False,
+            call.bias,
+            call.wanted,
+        )
 
     def withdraw(self, call: Call) -> i.RequestDropped | None:
         """The client has left; nothing more is owed, and nothing may be written."""
@@ -123,8 +134,9 @@
         return None
 
     def attempt(self, entry: Entry, worker: int, stop_at: float, now: float) -> Attempt:
-        made = Attempt(worker, min(stop_at, entry.due), now, call=entry.call,
-                       request=entry.number, number=entry.attempts)  # fmt: skip
+        made = Attempt(
+            worker, min(stop_at, entry.due), now, call=entry.call, request=entry.number, number=entry.attempts
+        )
         entry.attempts += 1
         entry.flying.append(made)
         self.attempts[made.request, made.number] = made
--- a/harrieryoke/descriptions.py
+++ b/harrieryoke/descriptions.py
@@ -12,13 +12,17 @@
 
 EXTENSION = "x-harrieryoke"
 OUTCOME = {
-    "type": "object", "required": ["outcome", "topic"], "additionalProperties": False,
+    "type": "object",
+    "required": ["outcome", "topic"],
+    "additionalProperties": False,
     "properties": {
-        "outcome": {"enum": ["served", "refused", "failed"]}, "topic": {"type": "string"},
-        "body": {"type": "string", "contentEncoding": "base64"}, "reason": {"type": "string"},
+        "outcome": {"enum": ["served", "refused", "failed"]},
+        "topic": {"type": "string"},
+        "body": {"type": "string", "contentEncoding": "base64"},
+        "reason": {"type": "string"},
         "retry_after_ms": {"type": "integer", "minimum": 0},
     },
-}  # fmt: skip
+}
 
 
 class DescriptionError(ValueError):
@@ -81,20 +85,29 @@
     channels: dict[str, Any] = {}
     operations: dict[str, Any] = {}
     for n, t in enumerate(triggers):
-        extension = {k: v for k, v in msgspec.to_builtins(t).items()
-                     if k not in ("topic", "schema", "response") and v is not None}  # fmt: skip
+        extension = {
+            k: v
+            for k, v in msgspec.to_builtins(t).items()
+            if k not in ("topic", "schema", "response") and v is not None
+        }
         channels[f"trigger{n}"] = {
-            "address": t.topic, "parameters": {name: {} for name in PLACE.findall(t.topic)},
-            "messages": {"reading": {} if t.schema is None else {"payload": t.schema}}, EXTENSION: extension,
-        }  # fmt: skip
+            "address": t.topic,
+            "parameters": {name: {} for name in PLACE.findall(t.topic)},
+            "messages": {"reading": {} if t.schema is None else {"payload": t.schema}},
+            EXTENSION: extension,
+        }
         channels[f"outcome{n}"] = {"address": t.response, "messages": {"outcome": {"payload": OUTCOME}}}
         reply: dict[str, Any] = {"channel": {"$ref": f"#/channels/outcome{n}"}}
         if t.response is None:
             reply["address"] = {"location": "$message.header#/responseTopic"}
         taken = {"$ref": f"#/channels/trigger{n}"}
         operations[f"take{n}"] = {"action": "receive", "channel": taken, "reply": reply}
-    return {"asyncapi": "3.0.0", "info": {"title": "harrieryoke triggers", "version": "1"},
-            "channels": channels, "operations": operations}  # fmt: skip
+    return {
+        "asyncapi": "3.0.0",
+        "info": {"title": "harrieryoke triggers", "version": "1"},
+        "channels": channels,
+        "operations": operations,
+    }
 
 
 def openapi() -> dict[str, Any]:
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -290,9 +290,18 @@
 
 
 Event = (
-    WorkersListed | RequestArrived | AnswerBegan | AttemptEnded | RequestDropped
-    | OrderEnded | ProbeEnded | TimerFired | PeerSaid | WarmWished | Retuned
-)  # fmt: skip
+    WorkersListed
+    | RequestArrived
+    | AnswerBegan
+    | AttemptEnded
+    | RequestDropped
+    | OrderEnded
+    | ProbeEnded
+    | TimerFired
+    | PeerSaid
+    | WarmWished
+    | Retuned
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -372,6 +381,14 @@
 
 
 Action = (
-    StartAttempt | CancelAttempt | Refuse | Fail | OrderCopies | DropCopies | Probe | SetTimer
-    | FollowList | Note
-)  # fmt: skip
+    StartAttempt
+    | CancelAttempt
+    | Refuse
+    | Fail
+    | OrderCopies
+    | DropCopies
+    | Probe
+    | SetTimer
+    | FollowList
+    | Note
+)
--- a/harrieryoke/lab/fleet.py
+++ b/harrieryoke/lab/fleet.py
@@ -179,8 +179,12 @@
 
 
 def leading(fleet: Fleet) -> list[c.Leads]:
-    return [c.Leads(name, t.status["term"]) for name, m in fleet.members.items() for t in m.told
-            if t.status["role"] == "leader"]  # fmt: skip
+    return [
+        c.Leads(name, t.status["term"])
+        for name, m in fleet.members.items()
+        for t in m.told
+        if t.status["role"] == "leader"
+    ]
 
 
 def said(fleet: Fleet) -> list[c.Act]:
--- a/harrieryoke/lab/fleet_checks.py
+++ b/harrieryoke/lab/fleet_checks.py
@@ -135,8 +135,11 @@
     """What one member applied and another has otherwise, or has no more."""
     found, said = list[str](), dict[int, Copy]()
     known = {(one.duty, one.chain) for one in applied}
-    found += [f"a state that nobody applied: {one}" for one in loaded
-              if one.chain and (one.duty, one.chain) not in known]  # fmt: skip
+    found += [
+        f"a state that nobody applied: {one}"
+        for one in loaded
+        if one.chain and (one.duty, one.chain) not in known
+    ]
     for copy in copies:
         before = said.setdefault(copy.place, copy)
         if before.digest != copy.digest:
--- a/harrieryoke/lab/fleet_world.py
+++ b/harrieryoke/lab/fleet_world.py
@@ -86,13 +86,21 @@
     def launch(self) -> subprocess.Popen[bytes]:
         operator = str(self.folder / "operator.toml")
         process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "harrieryoke.lab.fleet_watch", operator, str(self.fleet.watch.path),
-             ",".join(DUTIES), str(self.seed)],
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "harrieryoke.lab.fleet_watch",
+                operator,
+                str(self.fleet.watch.path),
+                ",".join(DUTIES),
+                str(self.seed),
+            ],
             env=os.environ | self.clock.env() | {"RELAY_CONFIG": str(self.folder / "config.json")},
             cwd=ROOT,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
-        )  # fmt: skip
+        )
         gevent.spawn(self.read_log, process)
         return process
 
@@ -198,11 +206,22 @@
         folder.mkdir()
         (folder / "operator.toml").write_text(self.operator(name))
         done = subprocess.run(
-            [sys.executable, "-B", "-m", "harrieryoke", "council", "found", "--operator",
-             str(folder / "operator.toml")],
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "harrieryoke",
+                "council",
+                "found",
+                "--operator",
+                str(folder / "operator.toml"),
+            ],
             env=os.environ | {"RELAY_CONFIG": str(self.folder / self.names[-1] / "config.json")},
-            cwd=ROOT, capture_output=True, text=True, check=False,
-        )  # fmt: skip
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         if done.returncode:
             raise RuntimeError(f"no council was founded: {done.stdout}{done.stderr}")
 
--- a/harrieryoke/lab/storage.py
+++ b/harrieryoke/lab/storage.py
@@ -37,8 +37,7 @@
     made = sqlite3.connect(path, isolation_level=None)
     made.execute("pragma journal_mode = wal")
     made.execute("pragma synchronous = full")
-   
-   
+
     columns = "seq integer primary key, at integer, kind integer, key blob, payload blob"
     made.execute(f"create table entries ({columns})")
     made.execute("create index by_key on entries (key)")
--- a/harrieryoke/lab/world.py
+++ b/harrieryoke/lab/world.py
@@ -160,13 +160,20 @@
 
     def launch(self) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
-            [sys.executable, "-B", "-m", "harrieryoke", "serve", "--operator",
-             str(self.folder / "operator.toml")],
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "harrieryoke",
+                "serve",
+                "--operator",
+                str(self.folder / "operator.toml"),
+            ],
             env=os.environ | self.clock.env() | {"RELAY_CONFIG": str(self.folder / "config.json")},
             cwd=ROOT,
             stdout=self.log,
             stderr=self.log,
-        )  # fmt: skip
+        )
 
     def kill(self) -> float:
         """SIGKILL, and the same invoker again; how long until it takes connections, in ms."""
--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -258,8 +258,20 @@
             share = self.shares.setdefault(call.tenant, Bucket())
             over = rate > 0 and not share.take(now, rate / 1000, max(1.0, rate))
         took = max(0, int(now - call.taken)) if call.taken else 0
-        use = Use(int(now), tenant, kind.name, how, int(1000 * kind.worth), took, int(call.memory), over,
-                  call.function, call.label or "", call.key, call.rid)  # fmt: skip
+        use = Use(
+            int(now),
+            tenant,
+            kind.name,
+            how,
+            int(1000 * kind.worth),
+            took,
+            int(call.memory),
+            over,
+            call.function,
+            call.label or "",
+            call.key,
+            call.rid,
+        )
         self.counts[how] += 1
         return self.write(self.ledger.book.use(use), now)
 
--- a/harrieryoke/ledger/commands.py
+++ b/harrieryoke/ledger/commands.py
@@ -152,4 +152,3 @@
 def again(epoch: str, batch: int, ops: OpsWanted) -> None:
     """Try a batch that was set aside once more."""
     ask(ops, "POST", "/ledger/again", epoch=epoch, batch=batch)
-
--- a/harrieryoke/ledger/decide/book.py
+++ b/harrieryoke/ledger/decide/book.py
@@ -191,8 +191,25 @@
         came = -1 if period == wanted else wanted
         number = self.number + 1
         id = Id(self.instance, self.epoch, number)
-        entry = Entry(id, kind, at, period, tenant, klass, outcome, amounts, over, function, label,
-                      repeat, key, came, corrects, reason, call)  # fmt: skip
+        entry = Entry(
+            id,
+            kind,
+            at,
+            period,
+            tenant,
+            klass,
+            outcome,
+            amounts,
+            over,
+            function,
+            label,
+            repeat,
+            key,
+            came,
+            corrects,
+            reason,
+            call,
+        )
         self.apply(entry)
         return entry
 
--- a/harrieryoke/ledger/decide/export.py
+++ b/harrieryoke/ledger/decide/export.py
@@ -127,9 +127,7 @@
             gone = range(upto + 1, min(out.forgotten, out.done) + 1)
             if gone and (epoch, gone[0], gone[-1]) not in self.lost:
                 self.lost.append((epoch, gone[0], gone[-1]))
-            kept = (
-                self.batches.get(BatchId(epoch, n)) for n in range(out.cut, max(upto, out.forgotten), -1)
-            )
+            kept = (self.batches.get(BatchId(epoch, n)) for n in range(out.cut, max(upto, out.forgotten), -1))
             for batch in [b for b in kept if b is not None and b.state is State.DONE]:
                 batch.state = State.WAITING
                 self.waiting.appendleft(batch.id)
--- a/harrieryoke/ledger/decide/periods.py
+++ b/harrieryoke/ledger/decide/periods.py
@@ -81,10 +81,15 @@
     def rows(self) -> list[dict[str, object]]:
         """For operators."""
         return [
-            {"period": p.number, "begin_ms": self.begin(p.number), "entries": p.sum.count,
-             "sealed": p.sealed, "gaps": p.gaps}
+            {
+                "period": p.number,
+                "begin_ms": self.begin(p.number),
+                "entries": p.sum.count,
+                "sealed": p.sealed,
+                "gaps": p.gaps,
+            }
             for p in self.known.values()
-        ]  # fmt: skip
+        ]
 
     def forget(self) -> None:
         for number in sorted(self.known)[: max(0, len(self.known) - self.most)]:
--- a/harrieryoke/ledger/settings.py
+++ b/harrieryoke/ledger/settings.py
@@ -62,8 +62,12 @@
                     raise LedgerError(f"{where}: a decimal from 0 on, as a text, is wanted")
         if self.collector is not None:
             c = self.collector
-            for key, least, most in (("batch", 1, 5000), ("batch_ms", 1, 3.6e6), ("window", 1, 64),
-                                     ("answer_ms", 10, 600_000)):  # fmt: skip
+            for key, least, most in (
+                ("batch", 1, 5000),
+                ("batch_ms", 1, 3.6e6),
+                ("window", 1, 64),
+                ("answer_ms", 10, 600_000),
+            ):
                 if not least <= getattr(c, key) <= most:
                     raise LedgerError(f"ledger.collector.{key}: {least:g} to {most:g} is wanted")
             if bool(c.certificate) != bool(c.key):
--- a/harrieryoke/manage/commands.py
+++ b/harrieryoke/manage/commands.py
@@ -21,13 +21,16 @@
         return " ".join((self.name, *self.arguments))
 
 
-COMMANDS = {c.name: c for c in (
-    Command("help", (), "names the calls"),
-    Command("ready", (), "says whether this process serves"),
-    Command("show-stat", (), "tells the figures, then a line 'end'"),
-    Command("disable-server", ("ID",), "leaves a model host out until it is put back"),
-    Command("enable-server", ("ID",), "puts a model host back as the list has it"),
-)}  # fmt: skip
+COMMANDS = {
+    c.name: c
+    for c in (
+        Command("help", (), "names the calls"),
+        Command("ready", (), "says whether this process serves"),
+        Command("show-stat", (), "tells the figures, then a line 'end'"),
+        Command("disable-server", ("ID",), "leaves a model host out until it is put back"),
+        Command("enable-server", ("ID",), "puts a model host back as the list has it"),
+    )
+}
 
 
 def read_call(line: bytes) -> tuple[Command, list[str]]:
@@ -54,7 +57,12 @@
         kind = msgspec.json.encode(name).decode()
         for figure in (f.name for f in fields(ClassFigures)):
             value = getattr(counted, figure)
-            lines.append(f"invoker_tries{{kind={kind}}} {value}" if figure == "tries" else
-                         f'invoker_responses{{kind={kind},result="{figure}"}} {value}')  # fmt: skip
-    return lines + [f"invoker_{name} {getattr(figures, name)}" for name in (
-        "active", "pool_size", "pool_ejected", "config_applied", "config_rejected")]  # fmt: skip
+            lines.append(
+                f"invoker_tries{{kind={kind}}} {value}"
+                if figure == "tries"
+                else f'invoker_responses{{kind={kind},result="{figure}"}} {value}'
+            )
+    return lines + [
+        f"invoker_{name} {getattr(figures, name)}"
+        for name in ("active", "pool_size", "pool_ejected", "config_applied", "config_rejected")
+    ]
--- a/harrieryoke/manage/server.py
+++ b/harrieryoke/manage/server.py
@@ -31,14 +31,25 @@
     """Each caller has a greenlet of its own and none waits for another, so that silent callers cost the
     others nothing. Callers are bounded in number and in time."""
 
-    def __init__(self, where: tuple[str, int], figures: Figures, serves: Callable[[], bool],
-                 tell_list: Callable[[Ban], bool], limits: Limits, log: Log) -> None:  # fmt: skip
+    def __init__(
+        self,
+        where: tuple[str, int],
+        figures: Figures,
+        serves: Callable[[], bool],
+        tell_list: Callable[[Ban], bool],
+        limits: Limits,
+        log: Log,
+    ) -> None:
         self.where, self.figures, self.serves, self.limits, self.log = where, figures, serves, limits, log
         self.tell_list = tell_list
         self.callers: dict[Caller, bool] = {}
         self.doers: dict[str, Callable[..., list[str]]] = {
-            "help": self.help, "ready": self.ready, "show-stat": self.show_stat,
-            "disable-server": self.disable, "enable-server": self.enable}  # fmt: skip
+            "help": self.help,
+            "ready": self.ready,
+            "show-stat": self.show_stat,
+            "disable-server": self.disable,
+            "enable-server": self.enable,
+        }
 
     def start(self) -> None:
         """Listens from here on. Raises OSError where the address can't be had."""
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -88,8 +88,15 @@
 class BrokerActor(Actor):
     """The front of one broker. paho is driven by a greenlet of its own, which only posts to the mailbox."""
 
-    def __init__(self, told: MqttSettings, where: tuple[str, int], maker: CallMaker, core: ModuleActor,
-                 limits: Limits, log: Log) -> None:  # fmt: skip
+    def __init__(
+        self,
+        told: MqttSettings,
+        where: tuple[str, int],
+        maker: CallMaker,
+        core: ModuleActor,
+        limits: Limits,
+        log: Log,
+    ) -> None:
         room = told.receive_maximum
         super().__init__("broker", 2 * room + 64, log, reserve=room + 32)
         self.told, self.where, self.core, self.limits = told, where, core, limits
@@ -112,9 +119,13 @@
         """paho acknowledges nothing by itself: `manual_ack`."""
         v5 = self.told.version == "5"
         made = paho.Client(
-            CallbackAPIVersion.VERSION2, self.told.client_id, clean_session=None if v5 else False,
-            protocol=paho.MQTTv5 if v5 else paho.MQTTv311, reconnect_on_failure=False, manual_ack=True,
-        )  # fmt: skip
+            CallbackAPIVersion.VERSION2,
+            self.told.client_id,
+            clean_session=None if v5 else False,
+            protocol=paho.MQTTv5 if v5 else paho.MQTTv311,
+            reconnect_on_failure=False,
+            manual_ack=True,
+        )
         if self.told.username is not None:
             file = self.told.password_file
             made.username_pw_set(self.told.username, Path(file).read_text().strip() if file else None)
@@ -167,8 +178,9 @@
         properties = Properties(PacketTypes.CONNECT)  # type: ignore[no-untyped-call]
         properties.SessionExpiryInterval = self.told.session_expiry_s
         properties.ReceiveMaximum = self.told.receive_maximum
-        self.client.connect(*self.where, keepalive=self.told.keepalive_s, clean_start=False,
-                            properties=properties)  # fmt: skip
+        self.client.connect(
+            *self.where, keepalive=self.told.keepalive_s, clean_start=False, properties=properties
+        )
 
     def on_connect(self, client: paho.Client, data: Any, flags: Any, code: Any, properties: Any) -> None:
         if code.is_failure:
@@ -189,10 +201,18 @@
         told = m.properties
         named = dict(getattr(told, "UserProperty", []))
         message = Message(
-            m.topic, bytes(m.payload), m.mid, m.qos, m.dup, m.retain, getattr(told, "ResponseTopic", None),
-            getattr(told, "CorrelationData", None), getattr(told, "MessageExpiryInterval", None), named,
+            m.topic,
+            bytes(m.payload),
+            m.mid,
+            m.qos,
+            m.dup,
+            m.retain,
+            getattr(told, "ResponseTopic", None),
+            getattr(told, "CorrelationData", None),
+            getattr(told, "MessageExpiryInterval", None),
+            named,
             now_ms(),
-        )  # fmt: skip
+        )
         self.push(Delivered(message, self.lives))
 
     # --- the actor ---
--- a/harrieryoke/mqtt/triggers.py
+++ b/harrieryoke/mqtt/triggers.py
@@ -64,15 +64,19 @@
         if any("{" in n and not PLACE.fullmatch(n) for n in levels):
             raise ValueError(f"topic: {trigger.topic!r}: {{name}} stands for a whole level")
         self.filter = "/".join("+" if PLACE.fullmatch(n) else n for n in levels)
-        self.pattern = re.compile("/".join(
-            f"(?P<{m[1]}>[^/]+)" if (m := PLACE.fullmatch(n)) else re.escape(n) for n in levels))  # fmt: skip
+        self.pattern = re.compile(
+            "/".join(f"(?P<{m[1]}>[^/]+)" if (m := PLACE.fullmatch(n)) else re.escape(n) for n in levels)
+        )
         known = set(PLACE.findall(trigger.topic))
         for key in ("function", "tenant", "response"):
             if missing := set(PLACE.findall(getattr(trigger, key) or "")) - known:
                 raise ValueError(f"{key}: the topic has no {{{missing.pop()}}}")
         how, _, self.key_name = trigger.key.partition(" ")
         readers: dict[str, Callable[[Message], str]] = {
-            "digest": Message.digest, "json": self.json_key, "property": self.property_key}  # fmt: skip
+            "digest": Message.digest,
+            "json": self.json_key,
+            "property": self.property_key,
+        }
         if how not in readers or (how == "digest") == bool(self.key_name):
             raise ValueError(f"key: {trigger.key!r}: 'digest', 'json NAME' or 'property NAME' is wanted")
         self.key = readers[how]
@@ -151,7 +155,14 @@
         extras |= {} if t.load_ms is None else {"load_ms": t.load_ms}
         keyed = self.maker.keyed(t.class_)
         return self.maker.make(
-            t.class_, os.urandom(8).hex(), matcher.fill(t.function, places), budget, m.taken, m.payload,
-            matcher.key(m) if keyed else None, None if t.tenant is None else matcher.fill(t.tenant, places),
-            extras, topic=m.topic,
-        )  # fmt: skip
+            t.class_,
+            os.urandom(8).hex(),
+            matcher.fill(t.function, places),
+            budget,
+            m.taken,
+            m.payload,
+            matcher.key(m) if keyed else None,
+            None if t.tenant is None else matcher.fill(t.tenant, places),
+            extras,
+            topic=m.topic,
+        )
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -17,9 +17,15 @@
 from ..settings import REPORT_NAMES
 from . import frames
 
-ENDS = {frames.OK: i.Outcome.OK, frames.MISS: i.Outcome.MISS, frames.FULL: i.Outcome.FULL,
-        frames.ERROR: i.Outcome.ERROR, frames.OVER: i.Outcome.NOT_SENT,
-        frames.HEALTHY: i.Outcome.OK, frames.SICK: i.Outcome.ERROR}  # fmt: skip
+ENDS = {
+    frames.OK: i.Outcome.OK,
+    frames.MISS: i.Outcome.MISS,
+    frames.FULL: i.Outcome.FULL,
+    frames.ERROR: i.Outcome.ERROR,
+    frames.OVER: i.Outcome.NOT_SENT,
+    frames.HEALTHY: i.Outcome.OK,
+    frames.SICK: i.Outcome.ERROR,
+}
 FOUND = {"w": i.Found.COPY, "c": i.Found.BEGAN_LOAD, "j": i.Found.WAITED}
 
 
@@ -109,8 +115,16 @@
 class HostActor(Actor):
     """Serialises all that goes to one model host. A host that is silent holds up nobody but itself."""
 
-    def __init__(self, name: str, standing: Standing, settings: i.Settings, limits: Limits,
-                 log: Log, report: Callable[[TaskEnded], object], figures: Figures) -> None:  # fmt: skip
+    def __init__(
+        self,
+        name: str,
+        standing: Standing,
+        settings: i.Settings,
+        limits: Limits,
+        log: Log,
+        report: Callable[[TaskEnded], object],
+        figures: Figures,
+    ) -> None:
         super().__init__(f"host {name}", limits.host_mailbox, log, reserve=limits.host_mailbox // 4)
         self.standing, self.limits, self.report = standing, limits, report
         self.figures = figures
@@ -206,8 +220,11 @@
     def frame_for(self, task: Task, link: Link, now: float) -> tuple[int, bytes]:
         if isinstance(task, Attempt):
             call = task.call
-            fields = {"sort": self.classes[call.class_index].name, "asset": call.function,
-                      "patience": str(max(1, int(task.stop_at - now)))}  # fmt: skip
+            fields = {
+                "sort": self.classes[call.class_index].name,
+                "asset": call.function,
+                "patience": str(max(1, int(task.stop_at - now))),
+            }
             if call.key is not None:
                 fields["op"] = call.key
             id = int(call.rid, 16)
@@ -370,5 +387,12 @@
         if isinstance(task, Order):
             return self.end(task, outcome, copies=number(frame.fields.get("pods")) or 0)
         report, crowd = read_report(frame.fields.get("l")), number(frame.fields.get("depth"))
-        self.end(task, outcome, body=frame.body, found=FOUND.get(note), load_failed=note == "f",
-                 crowd=crowd, report=report)  # fmt: skip
+        self.end(
+            task,
+            outcome,
+            body=frame.body,
+            found=FOUND.get(note),
+            load_failed=note == "f",
+            crowd=crowd,
+            report=report,
+        )
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -87,9 +87,15 @@
     """Keeps the list, opens an actor for each host, and tells the module what changed. A host that an
     operator left out drains, whatever the list says of it and however often, until it is put back."""
 
-    def __init__(self, settings: i.Settings, limits: Limits, log: Log,
-                 tell_module: Callable[[Listed], object],
-                 report: Callable[[TaskEnded], object], figures: Figures) -> None:  # fmt: skip
+    def __init__(
+        self,
+        settings: i.Settings,
+        limits: Limits,
+        log: Log,
+        tell_module: Callable[[Listed], object],
+        report: Callable[[TaskEnded], object],
+        figures: Figures,
+    ) -> None:
         super().__init__("worker list", limits.list_mailbox, log)
         self.settings, self.limits = settings, limits
         self.tell_module, self.report = tell_module, report
@@ -190,8 +196,9 @@
         zones, kinds = self.settings.zones, self.settings.kinds
         zone = zones.index(server.zone) if server.zone in zones else 0
         kind = kinds.index(server.kind) if server.kind in kinds else 0
-        return i.WorkerEntry(worker_number(server.id), zone, kind, server.cell, drain, server.weight,
-                             server.started_ms or None)  # fmt: skip
+        return i.WorkerEntry(
+            worker_number(server.id), zone, kind, server.cell, drain, server.weight, server.started_ms or None
+        )
 
     def host(self, server: Server, drain: i.Drain) -> HostActor:
         where = address(server.addr)
@@ -208,8 +215,9 @@
                 return actor
             self.strike(server.id)
         standing = Standing(where, drain)
-        actor = HostActor(server.id, standing, self.settings, self.limits, self.log, self.report,
-                          self.figures)  # fmt: skip
+        actor = HostActor(
+            server.id, standing, self.settings, self.limits, self.log, self.report, self.figures
+        )
         actor.start()
         self.hosts[server.id] = (standing, actor)
         return actor
@@ -248,8 +256,9 @@
     """Follows the event bus from the last event it has, over and over, with growing pauses. Each connection
     has a reader of its own, so that a move to another address waits for no dial and no silence."""
 
-    def __init__(self, where: tuple[str, int], last: int, limits: Limits, log: Log,
-                 tell: Callable[[BusSaid], Any]) -> None:  # fmt: skip
+    def __init__(
+        self, where: tuple[str, int], last: int, limits: Limits, log: Log, tell: Callable[[BusSaid], Any]
+    ) -> None:
         super().__init__("event bus", limits.list_mailbox, log, reserve=limits.list_mailbox // 4)
         self.where, self.last, self.limits, self.tell_list = where, last, limits, tell
         self.decoder: msgspec.json.Decoder[BusEvent | int] = msgspec.json.Decoder(BusEvent | int)
@@ -271,8 +280,12 @@
             self.reader.kill(block=False)
         self.connection += 1
         number, where, last = self.connection, self.where, self.last
-        self.reader = spawn(self.log, "event bus reader", lambda: self.read(number, where, last, pause),
-                            lambda: self.push(Ended(number, "its reader ended")))  # fmt: skip
+        self.reader = spawn(
+            self.log,
+            "event bus reader",
+            lambda: self.read(number, where, last, pause),
+            lambda: self.push(Ended(number, "its reader ended")),
+        )
 
     def read(self, number: int, where: tuple[str, int], last: int, pause: float) -> None:
         """One connection's life. A bus that keeps quiet for longer than its second is taken as lost."""
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -92,8 +92,16 @@
 class ClientActor(Actor):
     """One client connection: reads its lines in order, keeps what is open on it, writes its answers."""
 
-    def __init__(self, sock: socket.socket, name: str, maker: CallMaker, core: ModuleActor, limits: Limits,
-                 log: Log, gone: Callable[[ClientActor], object]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        sock: socket.socket,
+        name: str,
+        maker: CallMaker,
+        core: ModuleActor,
+        limits: Limits,
+        log: Log,
+        gone: Callable[[ClientActor], object],
+    ) -> None:
         # the reserve is kept for answers: they must find room however fast a client writes
         super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
         # guards against a client that does not read: its answer fails, and its connection ends
@@ -241,8 +249,9 @@
             raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
         try:
             p: CallParams = msgspec.json.decode(params, type=CallParams)
-            made = self.maker.make(method, p.rid, p.obj, p.budget, at, p.blob, p.token, p.acct,
-                                   read_props(p.props))  # fmt: skip
+            made = self.maker.make(
+                method, p.rid, p.obj, p.budget, at, p.blob, p.token, p.acct, read_props(p.props)
+            )
             made.client = self.peer
             return made
         except (msgspec.MsgspecError, BadCall, ValueError) as error:
@@ -315,8 +324,9 @@
 class PlatformFront(Actor):
     """Listens on the one address it was told, keeps the client connections, and stops in order."""
 
-    def __init__(self, where: tuple[str, int], maker: CallMaker, core: ModuleActor, limits: Limits,
-                 log: Log) -> None:  # fmt: skip
+    def __init__(
+        self, where: tuple[str, int], maker: CallMaker, core: ModuleActor, limits: Limits, log: Log
+    ) -> None:
         super().__init__("platform front", limits.client_mailbox, log)
         self.where, self.maker, self.core, self.limits = where, maker, core, limits
         self.clients: dict[ClientActor, bool] = {}  # whether it was told to leave
@@ -414,8 +424,9 @@
             self.log("too-many-clients", f"{len(self.clients)} connections are open")
             sock.close()
             return
-        client = ClientActor(sock, name, self.maker, self.core, self.limits, self.log,
-                             lambda c: self.push(Gone(c)))  # fmt: skip
+        client = ClientActor(
+            sock, name, self.maker, self.core, self.limits, self.log, lambda c: self.push(Gone(c))
+        )
         self.clients[client], client.asked = False, asked
         client.start()
         if self.stopping:
--- a/harrieryoke/operator_file.py
+++ b/harrieryoke/operator_file.py
@@ -77,8 +77,15 @@
     def make_log(self, name: str, lines_per_s: int) -> Log:
         return Log(name, lines_per_s) if self.log is None else StructuredLog(name, lines_per_s, self.log)
 
-    def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
-              answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]]) -> Parts:  # fmt: skip
+    def parts(
+        self,
+        settings: i.Settings,
+        core: ModuleActor,
+        maker: CallMaker,
+        limits: Limits,
+        log: Log,
+        answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]],
+    ) -> Parts:
         """What the file turns on, made ready. Plug-ins are loaded."""
         made = Parts()
         if self.mqtt is not None:
@@ -101,9 +108,18 @@
             turns = council.turns if DUTY in self.council.duties else None
         if self.ledger is not None:
             try:
-                made.ledger = LedgerPart(self.ledger, self.store, self.background, log.name, settings, limits,
-                                         log, secrets.randbits(62), lambda: len(core.box) > BUSY,
-                                         turns)  # fmt: skip
+                made.ledger = LedgerPart(
+                    self.ledger,
+                    self.store,
+                    self.background,
+                    log.name,
+                    settings,
+                    limits,
+                    log,
+                    secrets.randbits(62),
+                    lambda: len(core.box) > BUSY,
+                    turns,
+                )
             except (LedgerError, StoreError) as error:
                 raise ConfigError(str(error)) from None
         if self.ops is not None:
--- a/harrieryoke/ops.py
+++ b/harrieryoke/ops.py
@@ -23,19 +23,56 @@
 
 
 COUNTERS = {"type": "object", "additionalProperties": {"type": "integer", "minimum": 0}}
-HEALTH = {"type": "object", "required": ["healthy"], "additionalProperties": False,
-          "properties": {"healthy": {"type": "boolean"}}}  # fmt: skip
-COUNTS = {"type": "object", "required": ["requests", "log"],
-          "properties": {"requests": COUNTERS, "triggers": COUNTERS, "log": COUNTERS}}  # fmt: skip
-PLUGINS = {"type": "object", "required": ["plugins", "by_default"], "properties": {
-    "plugins": {"type": "array", "items": {"type": "object", "required": ["name", "serving", "versions"]}},
-    "by_default": COUNTERS, "advice_dropped": COUNTERS}}  # fmt: skip
-DOOR = {"type": "object", "required": ["waiting", "inside", "limit", "counts"], "properties": {
-    "waiting": COUNTERS, "inside": {"type": "integer"}, "counts": COUNTERS,
-    "promises": COUNTERS}}  # fmt: skip
+HEALTH = {
+    "type": "object",
+    "required": ["healthy"],
+    "additionalProperties": False,
+    "properties": {"healthy": {"type": "boolean"}},
+}
+COUNTS = {
+    "type": "object",
+    "required": ["requests", "log"],
+    "properties": {"requests": COUNTERS, "triggers": COUNTERS, "log": COUNTERS},
+}
+PLUGINS = {
+    "type": "object",
+    "required": ["plugins", "by_default"],
+    "properties": {
+        "plugins": {
+            "type": "array",
+            "items": {"type": "object", "required": ["name", "serving", "versions"]},
+        },
+        "by_default": COUNTERS,
+        "advice_dropped": COUNTERS,
+    },
+}
+DOOR = {
+    "type": "object",
+    "required": ["waiting", "inside", "limit", "counts"],
+    "properties": {
+        "waiting": COUNTERS,
+        "inside": {"type": "integer"},
+        "counts": COUNTERS,
+        "promises": COUNTERS,
+    },
+}
 LEDGER = {"type": "object", "required": ["instance", "epoch", "periods", "totals", "export"]}
-COUNCIL = {"type": "object", "required": ["member", "role", "term", "leader", "commit", "voters", "duties",
-                                          "sessions", "ailing", "disk", "links"]}  # fmt: skip
+COUNCIL = {
+    "type": "object",
+    "required": [
+        "member",
+        "role",
+        "term",
+        "leader",
+        "commit",
+        "voters",
+        "duties",
+        "sessions",
+        "ailing",
+        "disk",
+        "links",
+    ],
+}
 DONE = {"type": "object"}
 BEGUN = {"type": "object", "additionalProperties": {"type": "string"}}
 # path -> its method, what it is for, the statuses it answers with, and the schema of the body
@@ -46,16 +83,30 @@
     "/council": ("GET", "the council: who leads, who votes, who holds which duty", (200, 404), COUNCIL),
     "/ledger": ("GET", "the ledger: periods, totals, what is exported", (200, 404, 503), LEDGER),
     "/ledger/close": ("POST", "close and seal the period of ?period=", (200, 400, 404, 503), DONE),
-    "/ledger/correct": ("POST", "bring ?id= to ?calls=&worth=&took=&held= with a ?reason=",
-                        (200, 400, 404, 503), DONE),
-    "/ledger/reconcile": ("POST", "reconcile ?period= with the collector; what came of the last ones",
-                          (200, 400, 404, 503), DONE),
+    "/ledger/correct": (
+        "POST",
+        "bring ?id= to ?calls=&worth=&took=&held= with a ?reason=",
+        (200, 400, 404, 503),
+        DONE,
+    ),
+    "/ledger/reconcile": (
+        "POST",
+        "reconcile ?period= with the collector; what came of the last ones",
+        (200, 400, 404, 503),
+        DONE,
+    ),
     "/ledger/again": ("POST", "try the batch ?epoch=&batch= that was set aside", (200, 400, 404, 503), DONE),
     "/plugins": ("GET", "plug-ins, their versions and figures", (200, 404), PLUGINS),
     "/plugins/swap": ("POST", "read plug-ins anew: the one of ?name=, or all", (202, 404), BEGUN),
 }
-REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           503: "Service Unavailable"}  # fmt: skip
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    503: "Service Unavailable",
+}
 
 
 class Request:
@@ -78,8 +129,7 @@
 class OpsServer:
     """One connection, one answer: each is a greenlet that asks and shares nothing."""
 
-    def __init__(self, where: tuple[str, int], answer: Answering,
-                 limits: Limits, log: Log) -> None:  # fmt: skip
+    def __init__(self, where: tuple[str, int], answer: Answering, limits: Limits, log: Log) -> None:
         self.where, self.respond, self.limits, self.log = where, answer, limits, log
 
     def start(self) -> None:
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -133,5 +133,12 @@
         name. Raises ConfigError before anything is in force."""
         ...
 
-    def parts(self, settings: i.Settings, core: ModuleActor, maker: CallMaker, limits: Limits, log: Log,
-              answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]]) -> Parts: ...  # fmt: skip
+    def parts(
+        self,
+        settings: i.Settings,
+        core: ModuleActor,
+        maker: CallMaker,
+        limits: Limits,
+        log: Log,
+        answer: Callable[[str, str, Mapping[str, str]], tuple[int, Any]],
+    ) -> Parts: ...
--- a/harrieryoke/paths/decide/endpoints.py
+++ b/harrieryoke/paths/decide/endpoints.py
@@ -109,8 +109,11 @@
         shunned = [e for e, h in self.known.items() if h.shunned(now, self.first_ms, self.most_ms)]
         fit = [e for e in self.known if e not in shunned]
         chosen = [e for e in fit if e.family is Family.UNIX]
-        lately = {e: h.good_at for e in fit if (h := self.known[e]).good_at is not None
-                  and 0 <= now - h.good_at < self.lasting_ms}  # fmt: skip
+        lately = {
+            e: h.good_at
+            for e in fit
+            if (h := self.known[e]).good_at is not None and 0 <= now - h.good_at < self.lasting_ms
+        }
         rest = [e for e in fit if e not in chosen]
         good = max((e for e in rest if e in lately), key=lambda e: lately[e] or 0.0, default=None)
         if good is not None:
--- a/harrieryoke/plugins/decide/abi.py
+++ b/harrieryoke/plugins/decide/abi.py
@@ -22,9 +22,20 @@
 LABEL = re.compile(r"[\w.:/ -]{1,64}\Z", re.ASCII)
 TARGETS = ("zone", "kind", "host")
 FAULTS = (
-    "raised", "wrong-answer", "not-allowed", "timeout", "killed", "memory", "fuel", "recursion", "host-calls",
-    "state-full", "too-large", "not-text", "protocol",
-)  # fmt: skip
+    "raised",
+    "wrong-answer",
+    "not-allowed",
+    "timeout",
+    "killed",
+    "memory",
+    "fuel",
+    "recursion",
+    "host-calls",
+    "state-full",
+    "too-large",
+    "not-text",
+    "protocol",
+)
 
 
 class Fault(ValueError):
--- a/harrieryoke/plugins/instance.py
+++ b/harrieryoke/plugins/instance.py
@@ -104,8 +104,16 @@
 class Instance(Actor):
     """Asks are served one at a time, in order; each gets its Heard by its time, whatever the plug-in does."""
 
-    def __init__(self, package: Package, number: int, capabilities: frozenset[str], budgets: Budgets,
-                 breaker: BreakerLimits, log: Log, report: Callable[[Any], object]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        package: Package,
+        number: int,
+        capabilities: frozenset[str],
+        budgets: Budgets,
+        breaker: BreakerLimits,
+        log: Log,
+        report: Callable[[Any], object],
+    ) -> None:
         super().__init__(f"plug-in {package.text()}", 2 * budgets.queue + 8, log)
         from hdrh.histogram import HdrHistogram
 
@@ -131,10 +139,20 @@
         worker = Worker()
         m, b = self.package.manifest, self.budgets
         try:
-            told = worker.ask({
-                "engine": m.engine, "code": self.package.code, "memory_mb": b.memory_mb, "fuel": b.fuel,
-                "state": self.state.values, "state_bytes": b.state_bytes, "host_calls": b.host_calls,
-                "stateful": "state" in self.capabilities, "load_ms": b.load_ms}, by)  # fmt: skip
+            told = worker.ask(
+                {
+                    "engine": m.engine,
+                    "code": self.package.code,
+                    "memory_mb": b.memory_mb,
+                    "fuel": b.fuel,
+                    "state": self.state.values,
+                    "state_bytes": b.state_bytes,
+                    "host_calls": b.host_calls,
+                    "stateful": "state" in self.capabilities,
+                    "load_ms": b.load_ms,
+                },
+                by,
+            )
             if "fault" in told:
                 raise Fault(*self.fault_in(told))
             self.hooks = self.usable(told.get("hooks"))
@@ -343,10 +361,19 @@
         """Its figures, as the operators read them."""
         f, m = self.figures, self.package.manifest
         return {
-            "version": m.version, "digest": self.package.digest[:12], "engine": m.engine,
-            "signed_by": self.package.signed_by, "state": self.breaker.state, "put_out": self.breaker.opened,
-            "calls": f.calls, "faults": dict(f.faults), "declined": dict(f.declined), "starts": f.starts,
-            "p50_us": self.took.get_value_at_percentile(50), "p99_us": self.took.get_value_at_percentile(99),
-            "max_ms": round(f.slowest_ms, 3), "peak_mb": round(f.peak_kb / 1024, 1),
+            "version": m.version,
+            "digest": self.package.digest[:12],
+            "engine": m.engine,
+            "signed_by": self.package.signed_by,
+            "state": self.breaker.state,
+            "put_out": self.breaker.opened,
+            "calls": f.calls,
+            "faults": dict(f.faults),
+            "declined": dict(f.declined),
+            "starts": f.starts,
+            "p50_us": self.took.get_value_at_percentile(50),
+            "p99_us": self.took.get_value_at_percentile(99),
+            "max_ms": round(f.slowest_ms, 3),
+            "peak_mb": round(f.peak_kb / 1024, 1),
             "kept_bytes": self.state.held,
-        }  # fmt: skip
+        }
--- a/harrieryoke/plugins/process.py
+++ b/harrieryoke/plugins/process.py
@@ -35,11 +35,12 @@
             # posix_spawn does not copy this process, so the loop goes on; -S: the path is handed over whole
             self.pid = os.posix_spawn(
                 sys.executable,
-                [sys.executable, "-B", "-S", "-m", "harrieryoke.plugins.worker",
-                 str(theirs.fileno())],
+                [sys.executable, "-B", "-S", "-m", "harrieryoke.plugins.worker", str(theirs.fileno())],
                 {"PYTHONPATH": os.pathsep.join([str(ROOT), *filter(None, sys.path)]), "PATH": ""},
-                file_actions=actions, setsigmask=[], setsigdef=[signal.SIGINT, signal.SIGTERM, signal.SIGHUP],
-            )  # fmt: skip
+                file_actions=actions,
+                setsigmask=[],
+                setsigdef=[signal.SIGINT, signal.SIGTERM, signal.SIGHUP],
+            )
         finally:
             os.close(null)
             theirs.close()
--- a/harrieryoke/plugins/starlark_engine.py
+++ b/harrieryoke/plugins/starlark_engine.py
@@ -10,8 +10,13 @@
 from .decide.abi import Fault
 from .room import Room
 
-ARGUMENTS = {"on_request": ("request",), "on_outcome": ("request", "outcome"), "on_hosts": ("hosts",),
-             "on_timer": (), "carry": ("layout",)}  # fmt: skip
+ARGUMENTS = {
+    "on_request": ("request",),
+    "on_outcome": ("request", "outcome"),
+    "on_hosts": ("hosts",),
+    "on_timer": (),
+    "carry": ("layout",),
+}
 
 
 class Starlark:
--- a/harrieryoke/plugins/wasm_engine.py
+++ b/harrieryoke/plugins/wasm_engine.py
@@ -49,8 +49,9 @@
         self.memory: wasmtime.Memory | None = None
         self.has: dict[str, wasmtime.Func] = {}
         self.store = wasmtime.Store(self.engine)
-        self.store.set_limits(memory_size=self.memory_bytes, table_elements=10_000, instances=1, tables=4,
-                              memories=1)  # fmt: skip
+        self.store.set_limits(
+            memory_size=self.memory_bytes, table_elements=10_000, instances=1, tables=4, memories=1
+        )
         self.store.set_fuel(self.fuel)
         linker = wasmtime.Linker(self.engine)
         for name, (takes, gives, does) in self.functions().items():
@@ -99,7 +100,8 @@
     def functions(self) -> dict[str, tuple[list[Any], list[Any], Callable[..., Any]]]:
         i32, f64 = I32(), F64()
         return {
-            "number": ([i32], [f64], self.number), "text": ([i32, i32, i32], [i32], self.text),
+            "number": ([i32], [f64], self.number),
+            "text": ([i32, i32, i32], [i32], self.text),
             "refuse": ([f64], [], lambda ms: self.say("refuse_ms", ms)),
             "wanted": ([f64], [], lambda ms: self.say("wanted_ms", ms)),
             "prefer": ([i32, i32], [], lambda p, n: self.add("prefer", p, n)),
@@ -109,10 +111,13 @@
             "label": ([i32, i32], [], lambda p, n: self.say("label", self.read(p, n))),
             "log": ([i32, i32], [], lambda p, n: self.room.log(self.read(p, n))),
             "state_get": ([i32, i32, i32, i32], [i32], self.state_get),
-            "state_put": ([i32, i32, i32, i32], [],
-                          lambda k, kn, v, vn: self.room.put(self.read(k, kn), self.read(v, vn))),
+            "state_put": (
+                [i32, i32, i32, i32],
+                [],
+                lambda k, kn, v, vn: self.room.put(self.read(k, kn), self.read(v, vn)),
+            ),
             "state_drop": ([i32, i32], [], lambda k, kn: self.room.put(self.read(k, kn), None)),
-        }  # fmt: skip
+        }
 
     def read(self, at: int, size: int) -> str:
         """A text of the module's memory."""
--- a/harrieryoke/retune.py
+++ b/harrieryoke/retune.py
@@ -27,7 +27,8 @@
     tenants = {t.name: t for t in old.tenants} | now
     kinds = joined(old.kinds, new.kinds)
     memory = dict(zip(old.kinds, old.memory_by_kind, strict=False)) | dict(
-        zip(new.kinds, new.memory_by_kind, strict=False))  # fmt: skip
+        zip(new.kinds, new.memory_by_kind, strict=False)
+    )
     return replace(
         new,
         classes=tuple(classes),
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -39,13 +39,17 @@
         self.config, self.log, self.limits, self.reread = config, log, config.limits, reread
         settings = config.settings
         self.core = ModuleActor(settings, config.seed, self.limits, log)
-        self.hosts = HostListActor(settings, self.limits, log, self.core.push, self.core.push,
-                                   self.core.figures)  # fmt: skip
+        self.hosts = HostListActor(
+            settings, self.limits, log, self.core.push, self.core.push, self.core.figures
+        )
         self.bus = BusFollower(config.bus, config.known.offset, self.limits, log, self.hosts.push)
         self.maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, self.maker, self.core, self.limits, log)
-        self.parts = Parts() if config.operator is None else config.operator.parts(
-            settings, self.core, self.maker, self.limits, log, self.answer)  # fmt: skip
+        self.parts = (
+            Parts()
+            if config.operator is None
+            else config.operator.parts(settings, self.core, self.maker, self.limits, log, self.answer)
+        )
         self.broker, self.gate = self.parts.broker, self.parts.gate
         if self.gate is not None:
             self.core.set_gate(self.gate)
@@ -106,8 +110,9 @@
         from .manage.server import Management
 
         try:
-            Management(self.config.management, self.core.figures,
-                       self.serves, self.hosts.tell, self.limits, self.log).start()  # fmt: skip
+            Management(
+                self.config.management, self.core.figures, self.serves, self.hosts.tell, self.limits, self.log
+            ).start()
         except OSError as error:
             raise ConfigError(f"RELAY_MANAGEMENT: {error}") from None
 
--- a/harrieryoke/settings.py
+++ b/harrieryoke/settings.py
@@ -13,21 +13,55 @@
 EFFECTS = {"repeatable": "safe", "by_key": "keyed", "once": "unsafe"}
 
 # interface field -> where the wire has it
-TOP = {"classes": "classes", "tenants": "realms", "me": "me", "front_ends": "siblings", "zone": "zone",
-       "tick": "period", "over_share_worth": "over-share-worth"}  # fmt: skip
-CEILINGS = {"max_attempts": "max-attempts", "second_attempts": "second-copies", "may_cancel": "cancel",
-            "may_probe": "probes", "tells_retry_after": "retry-after", "max_retry_after": "max-retry-after",
-            "connect_timeout": "dial-timeout"}  # fmt: skip
-OBLIGATIONS = {"list_ask_within": "ask-within", "answer_slack": "answer-slack", "cold_period": "cold",
-               "cold_share": "cold-share", "fall_multiple": "fall-multiple",
-               "fall_time": "overload-for"}  # fmt: skip
-EXTRA = {"may_order": "orders", "keep_alive": "stays-loaded", "order_timeout": "order-limit",
-         "ration_window": "load-window", "ration_floor": "load-floor", "ration_share": "load-share",
-         "idle_price": "price-of-idle", "memory_by_kind": "kind-memory-mb", "tells_found": "warm-notes",
-         "tells_crowd": "says-company"}  # fmt: skip
-CLASS = {"name": "name", "aim": "goal-time", "deadline": "hard-limit", "worth": "value",
-         "late_worth": "late-worth", "effect": "repeat", "group": "dedup-scope",
-         "repeat_window": "repeat-window", "aim_stretch": "aim-stretch"}  # fmt: skip
+TOP = {
+    "classes": "classes",
+    "tenants": "realms",
+    "me": "me",
+    "front_ends": "siblings",
+    "zone": "zone",
+    "tick": "period",
+    "over_share_worth": "over-share-worth",
+}
+CEILINGS = {
+    "max_attempts": "max-attempts",
+    "second_attempts": "second-copies",
+    "may_cancel": "cancel",
+    "may_probe": "probes",
+    "tells_retry_after": "retry-after",
+    "max_retry_after": "max-retry-after",
+    "connect_timeout": "dial-timeout",
+}
+OBLIGATIONS = {
+    "list_ask_within": "ask-within",
+    "answer_slack": "answer-slack",
+    "cold_period": "cold",
+    "cold_share": "cold-share",
+    "fall_multiple": "fall-multiple",
+    "fall_time": "overload-for",
+}
+EXTRA = {
+    "may_order": "orders",
+    "keep_alive": "stays-loaded",
+    "order_timeout": "order-limit",
+    "ration_window": "load-window",
+    "ration_floor": "load-floor",
+    "ration_share": "load-share",
+    "idle_price": "price-of-idle",
+    "memory_by_kind": "kind-memory-mb",
+    "tells_found": "warm-notes",
+    "tells_crowd": "says-company",
+}
+CLASS = {
+    "name": "name",
+    "aim": "goal-time",
+    "deadline": "hard-limit",
+    "worth": "value",
+    "late_worth": "late-worth",
+    "effect": "repeat",
+    "group": "dedup-scope",
+    "repeat_window": "repeat-window",
+    "aim_stretch": "aim-stretch",
+}
 TENANT = {"name": "name", "allowance_per_s": "allowance-per-s"}
 CLASS_NEEDS = ("name", "goal-time", "hard-limit", "repeat")
 ABOVE_0 = ("goal-time", "hard-limit", "max-attempts", "siblings", "period", "stays-loaded")
@@ -89,12 +123,17 @@
     for section, names in (("ceilings", CEILINGS), ("obligations", OBLIGATIONS), ("extra", EXTRA)):
         flat |= part({} if info.get(section) is None else info[section], names, i.Settings, f"{section}.")
     classes = [read_class(c, f"classes[{n}].") for n, c in enumerate(read_list(info, TOP["classes"]))]
-    tenants = [{"name": ""} | part(t, TENANT, i.Tenant, f"{TOP['tenants']}[{n}].")
-               for n, t in enumerate(read_list(info, TOP["tenants"]))]  # fmt: skip
+    tenants = [
+        {"name": ""} | part(t, TENANT, i.Tenant, f"{TOP['tenants']}[{n}].")
+        for n, t in enumerate(read_list(info, TOP["tenants"]))
+    ]
     return i.Settings(
-        **flat, classes=tuple(classes), tenants=tuple(i.Tenant(**t) for t in tenants),
-        list_on_request=info.get("discovery") == "on_request", worth_by_work=info.get("worth-by") == "work",
-    )  # fmt: skip
+        **flat,
+        classes=tuple(classes),
+        tenants=tuple(i.Tenant(**t) for t in tenants),
+        list_on_request=info.get("discovery") == "on_request",
+        worth_by_work=info.get("worth-by") == "work",
+    )
 
 
 def report_names(info: Any) -> tuple[str, ...]:
--- a/harrieryoke/store/actor.py
+++ b/harrieryoke/store/actor.py
@@ -55,8 +55,12 @@
         self.tell_recovery(self.store.recovery)
 
     def tell_recovery(self, r: Recovery) -> None:
-        self.log("store-opened", f"{r.records} records, the last is {r.last}, snapshot {r.snapshot}",
-                 records=r.records, cut=r.cut)  # fmt: skip
+        self.log(
+            "store-opened",
+            f"{r.records} records, the last is {r.last}, snapshot {r.snapshot}",
+            records=r.records,
+            cut=r.cut,
+        )
         if r.cut:
             words = ", as long as a whole record" if r.suspect else ""
             self.log("store-cut", f"{r.cut} bytes of a last write that was not finished{words}")
--- a/harrieryoke/store/commands.py
+++ b/harrieryoke/store/commands.py
@@ -77,10 +77,15 @@
     for _, record in zip(range(most), found, strict=False):
         print(
             msgspec.json.encode(
-                {"seq": record.seq, "at": record.at, "kind": record.kind,
-                 "key": record.key.decode(errors="replace"), "payload": readable(record.payload)}
+                {
+                    "seq": record.seq,
+                    "at": record.at,
+                    "kind": record.kind,
+                    "key": record.key.decode(errors="replace"),
+                    "payload": readable(record.payload),
+                }
             ).decode()
-        )  # fmt: skip
+        )
 
 
 def readable(payload: bytes) -> Any:
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -161,8 +161,15 @@
 class Upgrade(Actor):
     """Hands over to processes that come after, and goes on serving where one of them ends too early."""
 
-    def __init__(self, path: Path, front: PlatformFront, core: ModuleActor, hosts: HostListActor,
-                 limits: Limits, log: Log) -> None:  # fmt: skip
+    def __init__(
+        self,
+        path: Path,
+        front: PlatformFront,
+        core: ModuleActor,
+        hosts: HostListActor,
+        limits: Limits,
+        log: Log,
+    ) -> None:
         """`path`, with an ending, names the socket and the file of bans."""
         super().__init__("upgrade", limits.list_mailbox, log)
         self.front, self.core, self.hosts, self.limits = front, core, hosts, limits
--- a/harrieryoke/wirehost.py
+++ b/harrieryoke/wirehost.py
@@ -56,8 +56,11 @@
     """A load report, values in the order of the settings."""
     if text == "-":
         return None
-    values = {REPORT_NAMES[n]: number_or_none(v) for n, v in zip(names, text.split(","), strict=False)
-              if n in REPORT_NAMES}  # fmt: skip
+    values = {
+        REPORT_NAMES[n]: number_or_none(v)
+        for n, v in zip(names, text.split(","), strict=False)
+        if n in REPORT_NAMES
+    }
     return i.LoadReport(**values)
 
 
@@ -68,8 +71,15 @@
         raise WireError(f"worker entry expected: {line!r}")
     _, worker, zone, kind, cell, mode, size, started = parts
     at = number_or_none(started)
-    return i.WorkerEntry(int(worker), int(zone), int(kind), int(cell), DRAINS[mode],
-                         1.0 if size == "-" else float(size), at or None)  # fmt: skip
+    return i.WorkerEntry(
+        int(worker),
+        int(zone),
+        int(kind),
+        int(cell),
+        DRAINS[mode],
+        1.0 if size == "-" else float(size),
+        at or None,
+    )
 
 
 def read_request(p: list[str], names: tuple[str, ...]) -> i.Event:
@@ -78,10 +88,17 @@
     bits = 0 if flags == "-" else int(flags)
     hinted = number_or_none(hint) if bits & 1 else None
     return i.RequestArrived(
-        int(request), int(kind), function, float(due), None if tenant == "-" else int(tenant), hinted,
-        number_or_none(memory) or 0.0, int(number_or_none(lanes) or 1), number_or_none(load_time),
+        int(request),
+        int(kind),
+        function,
+        float(due),
+        None if tenant == "-" else int(tenant),
+        hinted,
+        number_or_none(memory) or 0.0,
+        int(number_or_none(lanes) or 1),
+        number_or_none(load_time),
         bool(bits & 2),
-    )  # fmt: skip
+    )
 
 
 def read_settled(p: list[str], names: tuple[str, ...]) -> i.Event:
@@ -90,10 +107,17 @@
     bits = 0 if info == "-" else int(info)
     outcome = OUTCOMES[reason]
     return i.AttemptEnded(
-        int(request), int(worker), int(attempt), outcome, float(took), complete == "1",
-        FOUND.get(bits & 7) if outcome is i.Outcome.OK else None, bits & 7 == 4, bits >> 3,
+        int(request),
+        int(worker),
+        int(attempt),
+        outcome,
+        float(took),
+        complete == "1",
+        FOUND.get(bits & 7) if outcome is i.Outcome.OK else None,
+        bits & 7 == 4,
+        bits >> 3,
         read_report(report, names),
-    )  # fmt: skip
+    )
 
 
 def read_sampled(p: list[str], names: tuple[str, ...]) -> i.Event:
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -12,8 +12,23 @@
 CONNECT, CONNACK, PUBLISH, PUBACK, SUBSCRIBE, SUBACK = 1, 2, 3, 4, 8, 9
 PINGREQ, PINGRESP, DISCONNECT = 12, 13, 14
 EXPIRY, RESPONSE, CORRELATION, SESSION_EXPIRY, RECEIVE_MAX, USER = 0x02, 0x08, 0x09, 0x11, 0x21, 0x26
-SIZES = {0x01: 1, EXPIRY: 4, SESSION_EXPIRY: 4, 0x13: 2, 0x17: 1, 0x19: 1, RECEIVE_MAX: 2, 0x22: 2,
-         0x23: 2, 0x24: 1, 0x25: 1, 0x27: 4, 0x28: 1, 0x29: 1, 0x2A: 1}  # fmt: skip
+SIZES = {
+    0x01: 1,
+    EXPIRY: 4,
+    SESSION_EXPIRY: 4,
+    0x13: 2,
+    0x17: 1,
+    0x19: 1,
+    RECEIVE_MAX: 2,
+    0x22: 2,
+    0x23: 2,
+    0x24: 1,
+    0x25: 1,
+    0x27: 4,
+    0x28: 1,
+    0x29: 1,
+    0x2A: 1,
+}
 
 
 def text(value: str | bytes) -> bytes:
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -71,8 +71,15 @@
     """`send` puts a message on the wire; who drives the world takes it off: see `Timed`, or a test that
     takes any of them in any order, twice or not at all."""
 
-    def __init__(self, seed: int, names: Iterable[str], projects: dict[str, int], sizes: Sizes | None = None,
-                 parts: Parts | None = None, drift: float = 0.01) -> None:  # fmt: skip
+    def __init__(
+        self,
+        seed: int,
+        names: Iterable[str],
+        projects: dict[str, int],
+        sizes: Sizes | None = None,
+        parts: Parts | None = None,
+        drift: float = 0.01,
+    ) -> None:
         self.rng, self.parts, self.sizes = random.Random(seed), parts or Parts(), sizes or Sizes()
         self.t, self.index, self.calls, self.life, self.drift = 0.0, 0, 0, 1, drift
         self.wire: list[Callable[[], object]] = []
--- a/tests/council_nodes.py
+++ b/tests/council_nodes.py
@@ -72,12 +72,14 @@
         return [sys.executable, "-m", "harrieryoke", *words, "--operator", str(self.folder / "operator.toml")]
 
     def run(self, *words: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run(self.command(*words), env=self.env, cwd=ROOT, capture_output=True, text=True,
-                              check=False)  # fmt: skip
+        return subprocess.run(
+            self.command(*words), env=self.env, cwd=ROOT, capture_output=True, text=True, check=False
+        )
 
     def start(self) -> None:
-        self.process = subprocess.Popen(self.command("serve"), env=self.env, cwd=ROOT, text=True,
-                                        stderr=subprocess.PIPE)  # fmt: skip
+        self.process = subprocess.Popen(
+            self.command("serve"), env=self.env, cwd=ROOT, text=True, stderr=subprocess.PIPE
+        )
         threading.Thread(target=self.hear, args=(self.process,)).start()
 
     def hear(self, process: subprocess.Popen[str]) -> None:
--- a/tests/interleave.py
+++ b/tests/interleave.py
@@ -177,8 +177,9 @@
     raise Failed(str(found.failure), "\n".join(found.schedule))
 
 
-def search(make: Callable[[], World], bound: int | None, most: int,
-           shortest: bool = False) -> tuple[Counts, Run | None]:  # fmt: skip
+def search(
+    make: Callable[[], World], bound: int | None, most: int, shortest: bool = False
+) -> tuple[Counts, Run | None]:
     """Ends with the first schedule that fails, or with the shortest one."""
     counts, found = Counts(), None
     seen: dict[Hashable, tuple[int, int]] = {}  # states, and with how many preemptions and steps they came
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -11,9 +11,18 @@
 KEYED = i.RequestClass("price", 500, 2000, 2.0, 0.2, i.Effect.KEYED, i.Group.CELL, 1500)
 UNSAFE = i.RequestClass("pay", 500, 2000, 5.0, 0.2, i.Effect.UNSAFE)
 SETTINGS = i.Settings(
-    classes=(SAFE, KEYED, UNSAFE), tick=2, max_attempts=3, may_cancel=True, cold_period=8000, cold_share=0.2,
-    fall_multiple=4, fall_time=1000, keep_alive=10000, answer_slack=16, memory_by_kind=(4000.0,),
-)  # fmt: skip
+    classes=(SAFE, KEYED, UNSAFE),
+    tick=2,
+    max_attempts=3,
+    may_cancel=True,
+    cold_period=8000,
+    cold_share=0.2,
+    fall_multiple=4,
+    fall_time=1000,
+    keep_alive=10000,
+    answer_slack=16,
+    memory_by_kind=(4000.0,),
+)
 PROOF = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -36,21 +36,54 @@
 SETTINGS: dict[str, Any] = {
     "classes": [
         {"name": "weight-read", "goal-time": 1000, "hard-limit": 4000, "repeat": "repeatable", "value": 2},
-        {"name": "harvest-log", "goal-time": 750, "hard-limit": 3000, "repeat": "by_key", "value": 3,
-         "dedup-scope": "cell", "repeat-window": 6000},
+        {
+            "name": "harvest-log",
+            "goal-time": 750,
+            "hard-limit": 3000,
+            "repeat": "by_key",
+            "value": 3,
+            "dedup-scope": "cell",
+            "repeat-window": 6000,
+        },
     ],
-    "ceilings": {"cancel": True, "max-attempts": 5, "dial-timeout": 250, "retry-after": True,
-                 "max-retry-after": 500, "conn-idle": 30000},
-    "obligations": {"answer-slack": 8, "cold": 14000, "cold-share": 0.15, "drain-grace": 1000,
-                    "fall-multiple": 4, "overload-for": 3000},
-    "extra": {"orders": True, "stays-loaded": 8100, "order-limit": 10000, "load-window": 5000,
-              "load-floor": 6, "load-share": 0.3, "kind-memory-mb": [16000], "warm-notes": True,
-              "says-company": True},
-    "realms": [{"name": "coop-kef", "allowance-per-s": 100}], "flavors": ["std-4"], "zones": ["hall-a"],
-    "period": 2, "siblings": 1, "load-report": {"fields": ["concurrent", "depth", "x1"]},
-}  # fmt: skip
-CODES = {name: getattr(frames, name.upper().replace("-", "_")) for name in (
-    "request", "give-up", "hold", "unload", "ok", "miss", "full", "error", "over")}  # fmt: skip
+    "ceilings": {
+        "cancel": True,
+        "max-attempts": 5,
+        "dial-timeout": 250,
+        "retry-after": True,
+        "max-retry-after": 500,
+        "conn-idle": 30000,
+    },
+    "obligations": {
+        "answer-slack": 8,
+        "cold": 14000,
+        "cold-share": 0.15,
+        "drain-grace": 1000,
+        "fall-multiple": 4,
+        "overload-for": 3000,
+    },
+    "extra": {
+        "orders": True,
+        "stays-loaded": 8100,
+        "order-limit": 10000,
+        "load-window": 5000,
+        "load-floor": 6,
+        "load-share": 0.3,
+        "kind-memory-mb": [16000],
+        "warm-notes": True,
+        "says-company": True,
+    },
+    "realms": [{"name": "coop-kef", "allowance-per-s": 100}],
+    "flavors": ["std-4"],
+    "zones": ["hall-a"],
+    "period": 2,
+    "siblings": 1,
+    "load-report": {"fields": ["concurrent", "depth", "x1"]},
+}
+CODES = {
+    name: getattr(frames, name.upper().replace("-", "_"))
+    for name in ("request", "give-up", "hold", "unload", "ok", "miss", "full", "error", "over")
+}
 
 
 def listener() -> socket.socket:
@@ -116,9 +149,13 @@
     """One invoker and its parties; plays a scenario's steps in order."""
 
     def __init__(
-        self, folder: Path, hosts: int = 1, operator: str = "", broker: Broker | None = None,
+        self,
+        folder: Path,
+        hosts: int = 1,
+        operator: str = "",
+        broker: Broker | None = None,
         window: int = 6000,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes."""
         self.broker = broker or Broker()
         self.folder, self.parties, self.offset = folder, {b: Party(listener()) for b in ("bus", "bus2")}, 0
@@ -131,11 +168,15 @@
         known = [self.event("active", *self.hosts)] if hosts else []
         settings = copy.deepcopy(SETTINGS)
         config: dict[str, Any] = {
-            "name": "n0", "listen": self.address, "management": self.management,
-            "seed": "8c1f30d27a5be964", "settings": settings,
+            "name": "n0",
+            "listen": self.address,
+            "management": self.management,
+            "seed": "8c1f30d27a5be964",
+            "settings": settings,
             "limits": {"memory_mb": 192, "sockets": 1024},
-            "bus": self.parties["bus"].address(), "known": {"offset": self.offset, "batch": known},
-        }  # fmt: skip
+            "bus": self.parties["bus"].address(),
+            "known": {"offset": self.offset, "batch": known},
+        }
         settings["classes"][1]["repeat-window"] = window
         self.config = config
         self.send_config()
@@ -164,10 +205,18 @@
         """An event of the bus; `name@other` has the address of another."""
         self.offset += 1
         servers = [
-            {"id": name, "addr": self.hosts[at or name].address(), "zone": "hall-a", "kind": "std-4",
-             "cell": 0, "state": state, "weight": 1, "started_ms": 0}
+            {
+                "id": name,
+                "addr": self.hosts[at or name].address(),
+                "zone": "hall-a",
+                "kind": "std-4",
+                "cell": 0,
+                "state": state,
+                "weight": 1,
+                "started_ms": 0,
+            }
             for name, _, at in (n.partition("@") for n in names)
-        ]  # fmt: skip
+        ]
         topology = {"version": self.offset, "full": False, "servers": servers}
         return {"offset": self.offset, "topology": topology}
 
@@ -238,9 +287,13 @@
         if words[0] == "call":
             given = dict(w.split("=", 1) for w in words[3:])
             params: dict[str, Any] = {
-                "rid": f"{int(words[1]):016x}", "budget": 3500, "acct": "coop-kef", "obj": FUNCTION,
-                "props": "memory_mb:512;lanes:8;load_ms:500", "blob": "",
-            } | given  # fmt: skip
+                "rid": f"{int(words[1]):016x}",
+                "budget": 3500,
+                "acct": "coop-kef",
+                "obj": FUNCTION,
+                "props": "memory_mb:512;lanes:8;load_ms:500",
+                "blob": "",
+            } | given
             if "body" in params:
                 params["blob"] = base64.b64encode(params.pop("body").encode()).decode()
             params["budget"] = float(params["budget"])
@@ -333,9 +386,15 @@
         if verb == "send":
             correlation = given.get("correlation")
             expiry = int(given["expiry"]) if "expiry" in given else None
-            m = Publication(words[0], words[1].encode(), given.get("response"),
-                            None if correlation is None else correlation.encode(),
-                            expiry, {}, "retain" in given)  # fmt: skip
+            m = Publication(
+                words[0],
+                words[1].encode(),
+                given.get("response"),
+                None if correlation is None else correlation.encode(),
+                expiry,
+                {},
+                "retain" in given,
+            )
             if "out" in given:
                 b.known, b.unacked[b.mid + 1] = True, m
             else:
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -76,9 +76,14 @@
         self.actor.begin(Known(), banned)
         self.banned, self.kept, self.events = set(banned), set(banned), self.events + 1
 
-    @rule(said=st.lists(st.tuples(IDS, st.integers(1, 3), st.sampled_from(list(DRAINS)), st.integers(0, 3)),
-                        max_size=3, unique_by=(lambda s: s[0], lambda s: s[1])),
-          full=st.booleans())  # fmt: skip
+    @rule(
+        said=st.lists(
+            st.tuples(IDS, st.integers(1, 3), st.sampled_from(list(DRAINS)), st.integers(0, 3)),
+            max_size=3,
+            unique_by=(lambda s: s[0], lambda s: s[1]),
+        ),
+        full=st.booleans(),
+    )
     def listed(self, said: list[tuple[str, int, str, int]], full: bool) -> None:
         """Listed, drained, gone, back, restarted, moved, or at the address of another."""
         servers = [Server(id, f"127.0.0.1:{port}", state, started_ms=at) for id, port, state, at in said]
--- a/tests/test_budgets_faults.py
+++ b/tests/test_budgets_faults.py
@@ -82,10 +82,13 @@
 
 
 FAULTS = [
-    (Parts(spender=SettlesTwice), 0), (Parts(giver=ReturnsWhatMayBeSpent), 0),
-    (Parts(giver=ForgetsOtherHolders), 0), (Parts(spender=TakesUnacknowledged), 2),
-    (Parts(spender=ChargesAfterItsLastWord), 12), (Parts(budgets=Unfenced, giver=ActsOnOldWord), 18),
-]  # fmt: skip
+    (Parts(spender=SettlesTwice), 0),
+    (Parts(giver=ReturnsWhatMayBeSpent), 0),
+    (Parts(giver=ForgetsOtherHolders), 0),
+    (Parts(spender=TakesUnacknowledged), 2),
+    (Parts(spender=ChargesAfterItsLastWord), 12),
+    (Parts(budgets=Unfenced, giver=ActsOnOldWord), 18),
+]
 
 
 @pytest.mark.parametrize("parts,seed", FAULTS)
@@ -160,9 +163,18 @@
     def key(self) -> Hashable:
         s = self.spender
         return interleave.shape(
-            self.t, self.charged, self.budgets.dump(), self.budgets.over, self.acts, self.words, s.out,
-            s.projects, self.giver.marks, self.giver.spent, self.giver.offered,
-        )  # fmt: skip
+            self.t,
+            self.charged,
+            self.budgets.dump(),
+            self.budgets.over,
+            self.acts,
+            self.words,
+            s.out,
+            s.projects,
+            self.giver.marks,
+            self.giver.spent,
+            self.giver.offered,
+        )
 
 
 def test_settle_against_expiry_in_all_orders() -> None:
--- a/tests/test_budgets_tree.py
+++ b/tests/test_budgets_tree.py
@@ -77,8 +77,14 @@
     def gives(self, node: str, amount: int, back: bool) -> None:
         self.change(c.TakeBack(node, amount) if back else c.Delegate(node, amount))
 
-    @rule(node=names, refill=st.integers(0, 200), carry=st.integers(0, 60), minimum=st.integers(0, 60),
-          overcommit=st.sampled_from([1000, 1000, 1500, 3000]), soft=st.booleans())  # fmt: skip
+    @rule(
+        node=names,
+        refill=st.integers(0, 200),
+        carry=st.integers(0, 60),
+        minimum=st.integers(0, 60),
+        overcommit=st.sampled_from([1000, 1000, 1500, 3000]),
+        soft=st.booleans(),
+    )
     def sets(self, node: str, refill: int, carry: int, minimum: int, overcommit: int, soft: bool) -> None:
         self.change(c.Set(node, Terms(refill, carry, minimum, overcommit, soft)))
 
@@ -183,8 +189,16 @@
     assert (
         by_ann(c.Delegate("c", 60)) == "" and by_ann(c.Open("x", "a")) == "" and by_ann(c.Lend("a", 9)) == ""
     )
-    for do in (c.Delegate("a", 1), c.Set("a", Terms()), c.Close("a"), c.Delegate("b", 1), c.Open("y", "r"),
-               c.Move("c", "b"), c.Appoint("a", ("eve",)), c.Delegate("r", 1)):  # fmt: skip
+    for do in (
+        c.Delegate("a", 1),
+        c.Set("a", Terms()),
+        c.Close("a"),
+        c.Delegate("b", 1),
+        c.Open("y", "r"),
+        c.Move("c", "b"),
+        c.Appoint("a", ("eve",)),
+        c.Delegate("r", 1),
+    ):
         assert by_ann(do) == "no-right"
 
 
--- a/tests/test_council_link.py
+++ b/tests/test_council_link.py
@@ -158,8 +158,14 @@
     assert b.heard == [(a.seat, one) for one in offers(0, 100)]
     assert a.heard == c.heard == [(b.seat, Knock()), (b.seat, Passed("a", "reconcile", 9))]
     assert a.status("b") == {
-        "connected": True, "queued": 0, "sent": 100, "dropped": 0, "refused": "", "lost": "", "heard": True
-    }  # fmt: skip
+        "connected": True,
+        "queued": 0,
+        "sent": 100,
+        "dropped": 0,
+        "refused": "",
+        "lost": "",
+        "heard": True,
+    }
     assert a.log.lines == b.log.lines == c.log.lines == []
 
 
--- a/tests/test_council_part.py
+++ b/tests/test_council_part.py
@@ -29,8 +29,15 @@
 from .scenario import listener, where
 
 DUTIES = ["reconcile", "budget:kef", "budget:bon", "calendar:sahel"]
-TIMES = {"lease_ms": 1200.0, "election_ms": 250.0, "heartbeat_ms": 50.0, "stall_ms": 400.0,
-         "silent_ms": 1000.0, "settle_ms": 400.0, "leave_ms": 1500.0}  # fmt: skip
+TIMES = {
+    "lease_ms": 1200.0,
+    "election_ms": 250.0,
+    "heartbeat_ms": 50.0,
+    "stall_ms": 400.0,
+    "silent_ms": 1000.0,
+    "settle_ms": 400.0,
+    "leave_ms": 1500.0,
+}
 PATIENCE = 15.0  # seconds until what should come soon is held to have failed
 
 
@@ -220,18 +227,28 @@
     assert "too many" in actor.propose("reconcile", 1, b"x" * (MOST_BODY + 1))
 
 
-@pytest.mark.parametrize(("changes", "key"), [
-    ({"voters": ["a", "b"]}, "council.voters: 1, or 3 to 7"),
-    ({"voters": ["a", "b", "x"]}, "council.voters: x"), ({"voters": ["a", "a", "b"]}, "council.voters"),
-    ({"members": {"a": "here"}}, "council.members.a: "), ({"members": {}}, "council.members: "),
-    ({"members": {"a": "h:1", "b": "h:1", "c": "h:2"}}, "council.members.b: a has"),
-    ({"installation": ""}, "council.installation"), ({"listen": "x"}, "council.listen"),
-    ({"name": "x"}, "council.name: x"), ({"duties": ["a", "a"]}, "council.duties"),
-    ({"heartbeat_ms": 100.0}, "council.heartbeat_ms: 83"), ({"lease_ms": 400.0}, "council.election_ms: 200"),
-    ({"drift": 0.5}, "council.drift: 0 to 0.1"), ({"weight": -1.0}, "council.weight"),
-    ({"store": {"sink": 1}}, "council.store: "), ({"store": {"folder": "x"}}, "council.store.folder"),
-    ({"store": {"sync": "often"}}, "council.store: store.sync"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"voters": ["a", "b"]}, "council.voters: 1, or 3 to 7"),
+        ({"voters": ["a", "b", "x"]}, "council.voters: x"),
+        ({"voters": ["a", "a", "b"]}, "council.voters"),
+        ({"members": {"a": "here"}}, "council.members.a: "),
+        ({"members": {}}, "council.members: "),
+        ({"members": {"a": "h:1", "b": "h:1", "c": "h:2"}}, "council.members.b: a has"),
+        ({"installation": ""}, "council.installation"),
+        ({"listen": "x"}, "council.listen"),
+        ({"name": "x"}, "council.name: x"),
+        ({"duties": ["a", "a"]}, "council.duties"),
+        ({"heartbeat_ms": 100.0}, "council.heartbeat_ms: 83"),
+        ({"lease_ms": 400.0}, "council.election_ms: 200"),
+        ({"drift": 0.5}, "council.drift: 0 to 0.1"),
+        ({"weight": -1.0}, "council.weight"),
+        ({"store": {"sink": 1}}, "council.store: "),
+        ({"store": {"folder": "x"}}, "council.store.folder"),
+        ({"store": {"sync": "often"}}, "council.store: store.sync"),
+    ],
+)
 def test_a_wrong_key_of_the_table_is_named(changes: dict[str, object], key: str) -> None:
     with pytest.raises(CouncilError, match=key):
         replace(settings(), **changes).check()
--- a/tests/test_council_sizes.py
+++ b/tests/test_council_sizes.py
@@ -113,8 +113,13 @@
     entries, messages, since = max(world.agreed), world.messages, world.t
     world.schedule(4000)
     seconds = (world.t - since) / 1000
-    print(members, "faults", world.faults, (max(world.agreed) - entries) / seconds,
-          (world.messages - messages) / seconds)  # fmt: skip
+    print(
+        members,
+        "faults",
+        world.faults,
+        (max(world.agreed) - entries) / seconds,
+        (world.messages - messages) / seconds,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -110,9 +110,19 @@
 
     def key(self) -> Hashable:
         said = tuple(type(m).__name__ for m in self.old.box), tuple(type(m).__name__ for m in self.front)
-        return (tuple(self.queue), tuple(self.accepted), self.old_accepts, self.old_lives, self.old_ends,
-                self.new_accepts, self.new_lives, said, self.old.leading is None, self.old.stopping,
-                len(self.old.links))  # fmt: skip
+        return (
+            tuple(self.queue),
+            tuple(self.accepted),
+            self.old_accepts,
+            self.old_lives,
+            self.old_ends,
+            self.new_accepts,
+            self.new_lives,
+            said,
+            self.old.leading is None,
+            self.old.stopping,
+            len(self.old.links),
+        )
 
     def check(self) -> None:
         assert len(set(self.accepted)) == len(self.accepted), "a client was accepted twice"
@@ -155,10 +165,14 @@
     assert counts.whole and counts.states > 200, counts
 
 
-@pytest.mark.parametrize(("kind", "old", "failure"), [
-    (Handover, Forgetful, "a client waits"), (Handover, Early, "a client waits"),
-    (Torn, Upgrade, "accepted twice"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("kind", "old", "failure"),
+    [
+        (Handover, Forgetful, "a client waits"),
+        (Handover, Early, "a client waits"),
+        (Torn, Upgrade, "accepted twice"),
+    ],
+)
 def test_planted_faults_are_found_and_their_schedules_can_be_played_again(
     tmp_path: Path, kind: type[Handover], old: type[Upgrade], failure: str
 ) -> None:
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -198,8 +198,16 @@
     def key(self) -> Hashable:
         table = self.table
         heard = sorted((e.request, e.attempt, e.outcome.value) for e in self.attempts())
-        return shape(self.now, sorted(self.ends), heard, self.core.box, self.core.echoes, table.latest,
-                     table.entries, list(table.tasks))  # fmt: skip
+        return shape(
+            self.now,
+            sorted(self.ends),
+            heard,
+            self.core.box,
+            self.core.echoes,
+            table.latest,
+            table.entries,
+            list(table.tasks),
+        )
 
 
 # --- a host that closes against a dispatch ---
@@ -327,8 +335,18 @@
             assert e.outcome not in NEVER_RAN or rid not in self.written, "it has run"
 
     def key(self) -> Hashable:
-        hosts = [(a.box, getattr(a.box, "hand", None), [(k.open, k.asked, k.used) for k in a.links],
-                  list(a.places), a.standing, a.retiring, a.over) for a in self.actors]  # fmt: skip
+        hosts = [
+            (
+                a.box,
+                getattr(a.box, "hand", None),
+                [(k.open, k.asked, k.used) for k in a.links],
+                list(a.places),
+                a.standing,
+                a.retiring,
+                a.over,
+            )
+            for a in self.actors
+        ]
         return (super().key(), self.list.applied, shape(hosts, self.list.box, self.written, self.asked))
 
 
--- a/tests/test_interleave_council.py
+++ b/tests/test_interleave_council.py
@@ -87,8 +87,10 @@
         self.threads["passed"] = self.each(lambda: self.passed, self.tell, "arrives")
         if case == "wavers":
             b = self.holders["b"]
-            self.threads["b"] = [("cannot", lambda: self.says(partial(b.cannot, "x", "behind"))),
-                                 ("can", lambda: self.says(partial(b.can, "x")))]  # fmt: skip
+            self.threads["b"] = [
+                ("cannot", lambda: self.says(partial(b.cannot, "x", "behind"))),
+                ("can", lambda: self.says(partial(b.can, "x"))),
+            ]
             del self.threads["a"]
 
     def says(self, what: Callable[[], None]) -> None:
@@ -153,9 +155,19 @@
         assert len(acting) < 2, "two act"
 
     def key(self) -> Hashable:
-        state = [self.now, self.log, self.read, self.turned, self.said, self.passed, self.token, self.changed,
-                 [vars(h) for h in self.holders.values()], list(self.steward.proposed.items()),
-                 self.steward.heard]  # fmt: skip
+        state = [
+            self.now,
+            self.log,
+            self.read,
+            self.turned,
+            self.said,
+            self.passed,
+            self.token,
+            self.changed,
+            [vars(h) for h in self.holders.values()],
+            list(self.steward.proposed.items()),
+            self.steward.heard,
+        ]
         return msgspec.msgpack.encode(state, enc_hook=lambda part: None)
 
 
@@ -330,8 +342,15 @@
             assert all(each in member.log.entries for each in self.agreed.values()), "agreed, and lost"
 
     def key(self) -> Hashable:
-        return shape(self.disks, self.writing, self.way, self.failing, sorted(self.agreed), self.leaders,
-                     [vars(m).values() for m in self.members.values()])  # fmt: skip
+        return shape(
+            self.disks,
+            self.writing,
+            self.way,
+            self.failing,
+            sorted(self.agreed),
+            self.leaders,
+            [vars(m).values() for m in self.members.values()],
+        )
 
 
 class TakesFailedForWritten(Agreement):
@@ -353,18 +372,34 @@
 @pytest.mark.parametrize(
     ("case", "fault", "failure", "schedule"),
     [
-        ("ends", Parts(fence=NoFence), "changed under 3 after 6",
-         "a:check clock:at-1000 s:turn copy-b:apply copy-s:apply copy-s:apply copy-b:apply b:act a:act"),
-        ("ends", Parts(holder=CountsFromWhenHeard), "two act",
-         "clock:at-1000 s:turn copy-b:apply copy-s:apply copy-s:apply copy-b:apply"),
-        ("ends", Parts(duties=EndsWhatWasRenewed), "two act",
-         "word:arrives copy-a:apply copy-a:apply copy-b:apply clock:at-1000 s:turn copy-b:apply "
-         "copy-s:apply copy-s:apply copy-s:apply copy-b:apply"),
+        (
+            "ends",
+            Parts(fence=NoFence),
+            "changed under 3 after 6",
+            "a:check clock:at-1000 s:turn copy-b:apply copy-s:apply copy-s:apply copy-b:apply b:act a:act",
+        ),
+        (
+            "ends",
+            Parts(holder=CountsFromWhenHeard),
+            "two act",
+            "clock:at-1000 s:turn copy-b:apply copy-s:apply copy-s:apply copy-b:apply",
+        ),
+        (
+            "ends",
+            Parts(duties=EndsWhatWasRenewed),
+            "two act",
+            "word:arrives copy-a:apply copy-a:apply copy-b:apply clock:at-1000 s:turn copy-b:apply "
+            "copy-s:apply copy-s:apply copy-s:apply copy-b:apply",
+        ),
         ("passed", Parts(holder=Untold), "two act", "leader:heir copy-b:apply"),
-        ("passed", Parts(fence=NoFence), "changed under 3 after 6",
-         "a:check leader:heir copy-a:apply copy-b:apply passed:arrives b:act a:act"),
+        (
+            "passed",
+            Parts(fence=NoFence),
+            "changed under 3 after 6",
+            "a:check leader:heir copy-a:apply copy-b:apply passed:arrives b:act a:act",
+        ),
     ],
-)  # fmt: skip
+)
 def test_planted_in_duties(case: str, fault: Parts, failure: str, schedule: str) -> None:
     assert shortest(lambda: Duty(case, fault), failure, 1) == schedule.split()
 
@@ -384,12 +419,16 @@
     ("fault", "heard", "failure", "schedule"),
     [
         (SaysAtOnce, ASKED, "two votes", "a:hear power:cut b:hear"),
-        (VoteForgotten, ASKED, "two votes",
-         "a:hear disk:write disk:done disk:write disk:done power:cut b:hear disk:write disk:done"),
+        (
+            VoteForgotten,
+            ASKED,
+            "two votes",
+            "a:hear disk:write disk:done disk:write disk:done power:cut b:hear disk:write disk:done",
+        ),
         (SaysAtOnce, APPENDED, "not durable", "first:hear"),
         (AcksItsTail, APPENDED, "not the leader's", "beat:hear disk:write disk:done"),
     ],
-)  # fmt: skip
+)
 def test_planted_before_the_disk(
     fault: type[Agreement], heard: dict[str, tuple[Seat, Message]], failure: str, schedule: str
 ) -> None:
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -58,8 +58,13 @@
 
 
 def test_a_target_that_takes_an_older_token_is_found() -> None:
-    good = [c.Came("a", "d", 5, True), c.Came("b", "d", 9, True), c.Came("a", "d", 5, False),
-            c.Came("a", "e", 5, True), c.Came("b", "d", 9, True)]  # fmt: skip
+    good = [
+        c.Came("a", "d", 5, True),
+        c.Came("b", "d", 9, True),
+        c.Came("a", "d", 5, False),
+        c.Came("a", "e", 5, True),
+        c.Came("b", "d", 9, True),
+    ]
     assert c.stale_taken(good) == []
     assert len(c.stale_taken([*good, c.Came("a", "d", 5, True)])) == 1
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -66,8 +66,15 @@
     def ends(self, count: int, tenant: int = 0, how: str = "served") -> None:
         for _ in range(count):
             now = now_ms()
-            call = Call(f"{self.rng.getrandbits(64):016x}", 0, "f" * 16, now + 1000, tenant=tenant,
-                        memory=400, taken=now - 50)  # fmt: skip
+            call = Call(
+                f"{self.rng.getrandbits(64):016x}",
+                0,
+                "f" * 16,
+                now + 1000,
+                tenant=tenant,
+                memory=400,
+                taken=now - 50,
+            )
             caller = Caller()
             self.callers.append(caller)
             front = self.part.front_for(caller)
@@ -82,7 +89,6 @@
         export = status["export"]
         return not (export["not_in_a_batch"] or export["unsent"] or self.part.actor.box)
 
-
     def settled_but_aside(self) -> bool:
         export = self.part.actor.ask_status(1000)["export"]
         return not (export["not_in_a_batch"] or export["waiting"] or export["out"])
@@ -341,9 +347,14 @@
     name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "collector")])
     now = datetime.datetime.now(datetime.UTC)
     names = x509.SubjectAlternativeName([x509.DNSName("collector")])
-    made = x509.CertificateBuilder(name, name, key.public_key(), x509.random_serial_number(),
-                                   now - datetime.timedelta(days=3),
-                                   now + datetime.timedelta(days=days))  # fmt: skip
+    made = x509.CertificateBuilder(
+        name,
+        name,
+        key.public_key(),
+        x509.random_serial_number(),
+        now - datetime.timedelta(days=3),
+        now + datetime.timedelta(days=days),
+    )
     made = made.add_extension(x509.BasicConstraints(True, None), True).add_extension(names, False)
     signed = made.sign(key, hashes.SHA256())
     (folder / "cert.pem").write_bytes(signed.public_bytes(serialization.Encoding.PEM))
@@ -363,9 +374,15 @@
         ({"ca": "missing.pem"}, "ca: .*missing"),
         ({"ca": str(tmp_path / "old" / "cert.pem")}, "ca: .*expired"),
         ({"ca": str(good / "key.pem")}, "ca: .*key.pem"),
-        ({"ca": str(good / "cert.pem"), "certificate": str(good / "cert.pem"),
-          "key": str(other / "key.pem")}, "is not the key of"),
-    )  # fmt: skip
+        (
+            {
+                "ca": str(good / "cert.pem"),
+                "certificate": str(good / "cert.pem"),
+                "key": str(other / "key.pem"),
+            },
+            "is not the key of",
+        ),
+    )
     for files, words in wrong:
         with pytest.raises(LedgerError, match=words):
             context(CollectorSettings("127.0.0.1:1", **files))
@@ -378,8 +395,17 @@
     told = CollectorSettings(
         collector.address(), ca=str(good / "cert.pem"), server_name="collector", batch_ms=10
     )
-    part = LedgerPart(LedgerSettings(collector=told), None, BackgroundSettings(), "n1", SETTINGS, Limits(),
-                      log, 1, lambda: False)  # fmt: skip
+    part = LedgerPart(
+        LedgerSettings(collector=told),
+        None,
+        BackgroundSettings(),
+        "n1",
+        SETTINGS,
+        Limits(),
+        log,
+        1,
+        lambda: False,
+    )
     part.start()
     part.ended(Call("1" * 16, 0, "f" * 16, now_ms() + 100, taken=now_ms()), "served")
     until(lambda: collector.figures()["entries"] == 1)
--- a/tests/test_ledger_crash.py
+++ b/tests/test_ledger_crash.py
@@ -22,9 +22,7 @@
 from .test_ledger_decide import HOUR
 
 PACK = msgspec.msgpack.encode
-FUZZ = settings(
-    max_examples=200, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
-)
+FUZZ = settings(max_examples=200, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 
 
 class Life:
--- a/tests/test_ledger_decide.py
+++ b/tests/test_ledger_decide.py
@@ -155,9 +155,7 @@
 @FUZZ
 @given(
     st.lists(
-        st.sampled_from(
-            "cut cut send send answer answer twice lose refuse save back restart".split()
-        ),
+        st.sampled_from("cut cut send send answer answer twice lose refuse save back restart".split()),
         max_size=120,
     ),
     st.integers(0, 1000),
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -15,10 +15,11 @@
 
 CALLERS = 40
 WRONG = {
-    "unknown": (b"dance", "unknown-call"), "empty": (b" \r", "empty"),
+    "unknown": (b"dance", "unknown-call"),
+    "empty": (b" \r", "empty"),
     "no UTF-8": (b"ready \xff", "not-text"),
     "an argument too many": (b"ready now", "wrong-arguments"),
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("name", WRONG)
@@ -30,7 +31,9 @@
 
 
 def test_a_connection_carries_one_line_and_is_closed(tmp_path: Path) -> None:
-    run(tmp_path, f"""
+    run(
+        tmp_path,
+        f"""
         send m1 ready\r
         expect m1 done ready
         send m2 part rea
@@ -39,7 +42,8 @@
         send m3 {"x" * 3000}
         expect m3 error too-long
         send m4 dance
-        expect m4 error unknown-call""")  # fmt: skip
+        expect m4 error unknown-call""",
+    )
 
 
 def test_the_figures_are_what_the_peers_saw(tmp_path: Path) -> None:
@@ -73,11 +77,14 @@
             wait reload-failed""")
         seen = scene.figures()
         assert {n: v for n, v in seen.items() if v} == {
-            'invoker_responses{kind="weight-read",result="ok"}': 1, tries: 2,
+            'invoker_responses{kind="weight-read",result="ok"}': 1,
+            tries: 2,
             'invoker_responses{kind="weight-read",result="errors"}': 1,
             'invoker_responses{kind="harvest-log",result="shed"}': 1,
-            "invoker_pool_size": 2, "invoker_config_applied": 1, "invoker_config_rejected": 1,
-        }  # fmt: skip
+            "invoker_pool_size": 2,
+            "invoker_config_applied": 1,
+            "invoker_config_rejected": 1,
+        }
     finally:
         scene.end()
 
@@ -90,7 +97,8 @@
     """
 BACK = "send bus active h1\nwait changed"
 LISTED = {
-    "as before": BACK, "as draining, and back": "send bus leaving h1\nwait changed\n" + BACK,
+    "as before": BACK,
+    "as draining, and back": "send bus leaving h1\nwait changed\n" + BACK,
     "as gone, and back": "send bus left h1\nwait changed\nexpect h1 end\n" + BACK,
 }
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -16,8 +16,9 @@
 O = i.Outcome  # noqa: E741
 LOAD_MS = 400.0
 LANES = 4
-RULES = replace(SETTINGS, tells_crowd=True, tells_found=True, ration_window=5000, ration_floor=6,
-                ration_share=0.3)  # fmt: skip
+RULES = replace(
+    SETTINGS, tells_crowd=True, tells_found=True, ration_window=5000, ration_floor=6, ration_share=0.3
+)
 
 
 class Mesh(Fleet):
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -130,7 +130,7 @@
         expect broker end
         expect broker acked 1
         expect node exit 0""",
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("version", ["5", "3.1.1"])
@@ -142,7 +142,8 @@
             pytest.skip("3.1.1 has no message expiry")
         text = re.sub(r" (response|correlation|to)=\S+", "", text)
     operator = TEMPLATE.replace('version = "5"', f'version = "{version}"').replace(
-        'load_ms = 800', 'load_ms = 800\nresponse = "out/{coop}"')
+        "load_ms = 800", 'load_ms = 800\nresponse = "out/{coop}"'
+    )
     run(tmp_path, text, operator=operator, broker=Broker(version))
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -30,21 +30,32 @@
     "refuses one tenant by a figure of its record": (
         "def on_request(r):\n"
         "    return {'refuse_ms': 5} if r['tenant'] == 'coop-kef' and r['lanes'] == 8 else None",
-        "admit", REFUSED),
+        "admit",
+        REFUSED,
+    ),
     "fails, and the default admits": (
-        "def on_request(r):\n    return r['nothing']", "admit", SERVED + "\nwait plugin-failed"),
+        "def on_request(r):\n    return r['nothing']",
+        "admit",
+        SERVED + "\nwait plugin-failed",
+    ),
     "fails, and the default refuses": ("def on_request(r):\n    fail('no')", "refuse", REFUSED),
     "may not name the function of a platform's call": (
-        "def on_request(r):\n    return {'function': '00000000000000ff'}", "refuse", REFUSED),
+        "def on_request(r):\n    return {'function': '00000000000000ff'}",
+        "refuse",
+        REFUSED,
+    ),
     "may not change what it sees": (
-        "def on_request(r):\n    r['function'] = '00000000000000ff'\n    r['id'] = 'x'", "refuse",
+        "def on_request(r):\n    r['function'] = '00000000000000ff'\n    r['id'] = 'x'",
+        "refuse",
         CALL + f"expect h1 request asset={FUNCTION} body=x\nsend h1 ok body=y\nexpect c1 1 result y",
     ),
     "watches, and a failure of that changes nothing": (
         "def on_outcome(r, o):\n    fail(o + ' ' + r['class'])",
-        "admit", SERVED + "\nwait served weight-read"),
+        "admit",
+        SERVED + "\nwait served weight-read",
+    ),
     "is without any hook": ("x = 1", "admit", SERVED),
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("name", HOOKS)
@@ -60,12 +71,16 @@
         "    return {'function': '00000000000000ff'} if 'harvest' in r['topic'] else None"
     )
     operator = TEMPLATE.replace('function = "{model}"', 'function = ""') + HOOK.format(default="refuse")
-    run(tmp_path, f"""
+    run(
+        tmp_path,
+        f"""
         send broker hives/coop-kef/harvest/north {READING} response=a
         expect h1 request asset=00000000000000ff
         send broker hives/coop-kef/weight/north 41 response=a
         expect broker failed to=a
-        expect broker acked 1""", operator=operator)  # fmt: skip
+        expect broker acked 1""",
+        operator=operator,
+    )
 
 
 def test_the_log_is_json_where_the_operator_wants_it(tmp_path: Path) -> None:
@@ -82,12 +97,15 @@
     free = listener()
     ops = where(free)
     free.close()
-    text = SERVED + f"""
+    text = (
+        SERVED
+        + f"""
         get {ops} GET /healthz 200
         get {ops} GET /counters?all=1 200
         get {ops} POST /healthz 405
         get {ops} GET /nothing 404
         get {ops} nonsense / 400"""
+    )
     seen: dict[str, str] = {}
     run(tmp_path, text, operator=f'[ops]\nlisten = "{ops}"\n', seen=seen)
     described = openapi()["paths"]
@@ -125,7 +143,9 @@
 def test_triggers_from_an_asyncapi_document_serve_and_check_payloads(tmp_path: Path) -> None:
     (tmp_path / "triggers.yaml").write_text(DOCUMENT)
     topic = f"hives/coop-kef/harvest/{FUNCTION}"
-    run(tmp_path, f"""
+    run(
+        tmp_path,
+        f"""
         send broker {topic} '{{"reading":"r1","kg":-1}}'
         expect broker failed to=hives/coop-kef/outcome
         send broker {topic} '{{"reading":7}}'
@@ -135,7 +155,8 @@
         send h1 ok body=y
         expect broker served to=hives/coop-kef/outcome body=y
         expect broker acked 3""",
-        operator='asyncapi = "triggers.yaml"\n[mqtt]\nbroker = "BROKER"\n')  # fmt: skip
+        operator='asyncapi = "triggers.yaml"\n[mqtt]\nbroker = "BROKER"\n',
+    )
 
 
 def test_what_describe_prints_is_read_back_as_the_same_triggers(tmp_path: Path) -> None:
@@ -146,14 +167,18 @@
     assert read_asyncapi(str(tmp_path / "printed.json")) == triggers
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    (("asyncapi: 3.0.0", "asyncapi: 2.6.0"), "version 3"),
-    (("#/components/messages/reading'", "#/none'"), "#/none"),
-    (("type: string", "$ref: '#/components/schemas/reading'"), "circle"),
-    (("lanes: 4", "lanes: four"), "lanes"), (("lanes: 4", "lane: 4"), "lane"),
-    (("address: hives/{coop}/harvest/{model}\n", "\n"), "address"),
-    (("channels:", "channels: ["), "triggers.yaml"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        (("asyncapi: 3.0.0", "asyncapi: 2.6.0"), "version 3"),
+        (("#/components/messages/reading'", "#/none'"), "#/none"),
+        (("type: string", "$ref: '#/components/schemas/reading'"), "circle"),
+        (("lanes: 4", "lanes: four"), "lanes"),
+        (("lanes: 4", "lane: 4"), "lane"),
+        (("address: hives/{coop}/harvest/{model}\n", "\n"), "address"),
+        (("channels:", "channels: ["), "triggers.yaml"),
+    ],
+)
 def test_a_wrong_asyncapi_document_is_named(change: tuple[str, str], words: str, tmp_path: Path) -> None:
     (tmp_path / "triggers.yaml").write_text(DOCUMENT.replace(*change))
     with pytest.raises(DescriptionError, match=words):
@@ -164,23 +189,32 @@
 CONFIG |= {"settings": SETTINGS}  # type: ignore[dict-item]
 
 
-@pytest.mark.parametrize(("changes", "operator", "key"), [
-    ({"bus": "nowhere"}, "", "bus:"), ({"listen": "127.0.0.1"}, "", "RELAY_LISTEN:"),
-    ({"seed": "xyz"}, "", "seed:"), ({"settings": {}}, "", "settings.classes:"),
-    ({"settings": SETTINGS | {"period": "often"}}, "", "settings.period:"),
-    ({"settings": SETTINGS | {"ceilings": {"open-cap": "many"}}}, "", "settings.ceilings.open-cap:"),
-    ({"limits": {"sockets": 3}}, "", "limits.sockets:"), ({"limits": {"sockets": "x"}}, "", "limits.sockets"),
-    ({}, "[limits]\nno_such = 3", "limits.no_such:"), ({}, "[mqtt]\nbrokers = 1", "brokers"),
-    ({}, '[log]\nformat = "xml"', "log.format:"),
-    ({}, '[mqtt]\nbroker = "x"', "mqtt.broker:"), ({}, '[mqtt]\nbroker = "127.0.0.1:1"', "mqtt.trigger:"),
-    ({}, TEMPLATE.replace('class = "harvest-log"', 'class = "honey"'), r"mqtt.trigger\[0\].class:"),
-    ({}, TEMPLATE.replace('"json reading"', '"guess"'), r"mqtt.trigger\[0\].key:"),
-    ({}, TEMPLATE.replace('tenant = "{coop}"', 'tenant = "{who}"'), r"mqtt.trigger\[0\].tenant:"),
-    ({}, TEMPLATE.replace('type = "object"', 'type = "hive"'), r"mqtt.trigger\[0\].schema:"),
-    ({}, TEMPLATE.replace('version = "5"', 'version = "4"'), "mqtt.version:"),
-    ({}, TEMPLATE.replace("receive_maximum = 64", "receive_maximum = 0"), "mqtt.receive_maximum:"),
-    ({}, '[ops]\nlisten = "here"', "ops.listen:"), ({}, "no toml", "operator.toml"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("changes", "operator", "key"),
+    [
+        ({"bus": "nowhere"}, "", "bus:"),
+        ({"listen": "127.0.0.1"}, "", "RELAY_LISTEN:"),
+        ({"seed": "xyz"}, "", "seed:"),
+        ({"settings": {}}, "", "settings.classes:"),
+        ({"settings": SETTINGS | {"period": "often"}}, "", "settings.period:"),
+        ({"settings": SETTINGS | {"ceilings": {"open-cap": "many"}}}, "", "settings.ceilings.open-cap:"),
+        ({"limits": {"sockets": 3}}, "", "limits.sockets:"),
+        ({"limits": {"sockets": "x"}}, "", "limits.sockets"),
+        ({}, "[limits]\nno_such = 3", "limits.no_such:"),
+        ({}, "[mqtt]\nbrokers = 1", "brokers"),
+        ({}, '[log]\nformat = "xml"', "log.format:"),
+        ({}, '[mqtt]\nbroker = "x"', "mqtt.broker:"),
+        ({}, '[mqtt]\nbroker = "127.0.0.1:1"', "mqtt.trigger:"),
+        ({}, TEMPLATE.replace('class = "harvest-log"', 'class = "honey"'), r"mqtt.trigger\[0\].class:"),
+        ({}, TEMPLATE.replace('"json reading"', '"guess"'), r"mqtt.trigger\[0\].key:"),
+        ({}, TEMPLATE.replace('tenant = "{coop}"', 'tenant = "{who}"'), r"mqtt.trigger\[0\].tenant:"),
+        ({}, TEMPLATE.replace('type = "object"', 'type = "hive"'), r"mqtt.trigger\[0\].schema:"),
+        ({}, TEMPLATE.replace('version = "5"', 'version = "4"'), "mqtt.version:"),
+        ({}, TEMPLATE.replace("receive_maximum = 64", "receive_maximum = 0"), "mqtt.receive_maximum:"),
+        ({}, '[ops]\nlisten = "here"', "ops.listen:"),
+        ({}, "no toml", "operator.toml"),
+    ],
+)
 def test_a_wrong_key_is_named(changes: dict[str, object], operator: str, key: str, tmp_path: Path) -> None:
     (tmp_path / "config.json").write_text(json.dumps(CONFIG | changes))
     (tmp_path / "operator.toml").write_text(operator.replace("BROKER", "127.0.0.1:1883"))
@@ -188,28 +222,44 @@
         load_config(str(tmp_path / "operator.toml"), {"RELAY_CONFIG": str(tmp_path / "config.json")})
 
 
-@pytest.mark.parametrize(("command", "code", "words"), [
-    (["version"], 0, "harrieryoke"), (["check-config"], 0, "MQTT is off"), (["describe"], 0, "/healthz"),
-    (["check-config", "--operator", str(ROOT / "deploy" / "operator.toml")], 0, "2 MQTT triggers"),
-    (["describe", "--operator", str(ROOT / "deploy" / "operator.toml")], 0, "hives/{coop}/harvest/{model}"),
-    (["check-config", "--operator", "nowhere.toml"], 2, "nowhere.toml"),
-    (["dance"], 2, "No such command"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("command", "code", "words"),
+    [
+        (["version"], 0, "harrieryoke"),
+        (["check-config"], 0, "MQTT is off"),
+        (["describe"], 0, "/healthz"),
+        (["check-config", "--operator", str(ROOT / "deploy" / "operator.toml")], 0, "2 MQTT triggers"),
+        (
+            ["describe", "--operator", str(ROOT / "deploy" / "operator.toml")],
+            0,
+            "hives/{coop}/harvest/{model}",
+        ),
+        (["check-config", "--operator", "nowhere.toml"], 2, "nowhere.toml"),
+        (["dance"], 2, "No such command"),
+    ],
+)
 def test_the_command_line(command: list[str], code: int, words: str, tmp_path: Path) -> None:
     (tmp_path / "config.json").write_text(json.dumps(CONFIG))
     done = subprocess.run(
-        [sys.executable, "-m", "harrieryoke", *command], capture_output=True, text=True, cwd=ROOT,
-        check=False, env=os.environ | {"RELAY_CONFIG": str(tmp_path / "config.json")},
-    )  # fmt: skip
+        [sys.executable, "-m", "harrieryoke", *command],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+        env=os.environ | {"RELAY_CONFIG": str(tmp_path / "config.json")},
+    )
     assert done.returncode == code, done.stderr
     assert words in done.stdout + done.stderr and "Traceback" not in done.stderr
 
 
-@pytest.mark.parametrize(("broken", "code", "words"), [
-    ("", 2, "configuration: RELAY_LISTEN: "),
-    ("from harrieryoke.core.module import ModuleActor; ModuleActor.step = lambda *a: [][0]", 1, "broken"),
-    ("from harrieryoke.net.hostlist import BusFollower; BusFollower.run = lambda *a: {}[0]", 1, "broken"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("broken", "code", "words"),
+    [
+        ("", 2, "configuration: RELAY_LISTEN: "),
+        ("from harrieryoke.core.module import ModuleActor; ModuleActor.step = lambda *a: [][0]", 1, "broken"),
+        ("from harrieryoke.net.hostlist import BusFollower; BusFollower.run = lambda *a: {}[0]", 1, "broken"),
+    ],
+)
 def test_without_a_vital_part_it_ends_and_says_so(broken: str, code: int, words: str, tmp_path: Path) -> None:
     taken = listener()
     free = listener()
@@ -218,8 +268,13 @@
     (tmp_path / "config.json").write_text(json.dumps(CONFIG | {"listen": listen}))
     script = f"{broken}\nfrom harrieryoke.cli import main\nraise SystemExit(main(['serve']))"
     done = subprocess.run(
-        [sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT, check=False, timeout=60,
+        [sys.executable, "-c", script],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+        timeout=60,
         env=os.environ | {"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_LISTEN": listen},
-    )  # fmt: skip
+    )
     taken.close()
     assert done.returncode == code and words in done.stderr, done.stderr
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -182,7 +182,8 @@
         expect c1 1 result y""",
     "the thirty-third open request is refused": "\n".join(
         f"send c1 call {n} weight-read" for n in range(1, 34)
-    ) + "\nexpect c1 33 error -32050",
+    )
+    + "\nexpect c1 33 error -32050",
     "a host that leaves gets nothing new": """
         expect bus 'from 1'
         send bus leaving h1
@@ -278,18 +279,22 @@
         send node TERM
         expect c1 1 error -32000
         expect node exit 0""",
-}  # fmt: skip
+}
 
 
 def test_who_asked_once_and_stays_makes_room_for_newcomers_while_who_waits_is_kept(tmp_path: Path) -> None:
     others = "\n".join(f"send c{n} probe 1\nexpect c{n} 1 healthy" for n in range(2, 21))
-    run(tmp_path, f"""
+    run(
+        tmp_path,
+        f"""
         send c1 call 1 weight-read body=x
         expect h1 request body=x
         {others}
         expect c2 end
         send h1 ok body=y
-        expect c1 1 result y""", operator="[limits]\nsockets = 20\nclient_fresh_ms = 0.001")  # fmt: skip
+        expect c1 1 result y""",
+        operator="[limits]\nsockets = 20\nclient_fresh_ms = 0.001",
+    )
 
 
 @pytest.mark.parametrize("name", ONE)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -145,7 +145,7 @@
         send h1 ok body=y
         expect c1 1 result y
         expect node exit 0""",
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("name", TAKEN)
@@ -162,7 +162,9 @@
         adds(s)
         s["realms"].append({"name": "coop-new", "allowance-per-s": 5})
 
-    run(tmp_path, f"""
+    run(
+        tmp_path,
+        f"""
         {told(more)}
         send c1 call 1 swarm-alert acct=coop-new
         expect h1 request sort=swarm-alert
@@ -171,7 +173,9 @@
         wait served swarm-alert coop-new
         {told()}
         send c1 call 2 weight-read acct=coop-new
-        expect c1 2 error -32602""", operator=operator)  # fmt: skip
+        expect c1 2 error -32602""",
+        operator=operator,
+    )
 
 
 # --- files that can't be used ---
@@ -255,8 +259,15 @@
 
     def __init__(self, folder: Path) -> None:
         self.path, self.log = folder / "config.json", Ear()
-        self.told = {"name": "n0", "listen": "127.0.0.1:8443", "seed": "8c", "bus": "127.0.0.1:4222",
-                     "settings": changed(lambda s: None), "known": {"offset": 3}, "limits": {}}  # fmt: skip
+        self.told = {
+            "name": "n0",
+            "listen": "127.0.0.1:8443",
+            "seed": "8c",
+            "bus": "127.0.0.1:4222",
+            "settings": changed(lambda s: None),
+            "known": {"offset": 3},
+            "limits": {},
+        }
         self.write(self.told)
         env = {"RELAY_CONFIG": str(self.path)}
         self.service = Service(read_config(env=env), self.log, lambda: read_config(env=env))
@@ -434,7 +445,7 @@
     st.lists(CLASSES, min_size=1, max_size=5, unique_by=lambda c: c.name),
     st.lists(st.builds(i.Tenant, NAMES, st.sampled_from((0.0, 5.0))), unique_by=lambda t: t.name),
     st.lists(NAMES, unique=True),
-)  # fmt: skip
+)
 
 
 @settings(deadline=None)
@@ -461,7 +472,7 @@
     st.none() | st.booleans() | st.integers() | st.floats() | st.sampled_from(("once", "by_key", "", "nan")),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(list(SETTINGS)), inner),
     max_leaves=6,
-)  # fmt: skip
+)
 
 
 @settings(deadline=None)
@@ -491,14 +502,22 @@
         merge(config.settings, config.settings, 9)
 
 
-@pytest.mark.parametrize(("force", "new", "found"), [
-    ({"a": 1}, {"a": 2.5}, None), ({"a": 1}, {}, "a: it is missing"), ({"a": None}, {}, None),
-    ({"a": 1}, {"a": "1"}, "a: a number"), ({"a": {"b": 1}}, {"a": {"c": 1}}, "a.b: it is missing"),
-    ({"a": []}, {"a": [{"b": 1}]}, None), ({"a": [{"b": 1}, {}]}, {"a": [{}]}, None),
-    ({"a": [{"b": 1}, {"b": 2, "c": 3}]}, {"a": [{"b": 1}, {"c": 3}]}, "a[1].b: it is missing"),
-    ({"a": [{"b": {"c": 1}}]}, {"a": [{"b": {}}]}, "a[0].b.c: it is missing"), ({"seed": "1"}, {}, None),
-    ({"a": True}, {"a": 1}, "a: true or false"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("force", "new", "found"),
+    [
+        ({"a": 1}, {"a": 2.5}, None),
+        ({"a": 1}, {}, "a: it is missing"),
+        ({"a": None}, {}, None),
+        ({"a": 1}, {"a": "1"}, "a: a number"),
+        ({"a": {"b": 1}}, {"a": {"c": 1}}, "a.b: it is missing"),
+        ({"a": []}, {"a": [{"b": 1}]}, None),
+        ({"a": [{"b": 1}, {}]}, {"a": [{}]}, None),
+        ({"a": [{"b": 1}, {"b": 2, "c": 3}]}, {"a": [{"b": 1}, {"c": 3}]}, "a[1].b: it is missing"),
+        ({"a": [{"b": {"c": 1}}]}, {"a": [{"b": {}}]}, "a[0].b.c: it is missing"),
+        ({"seed": "1"}, {}, None),
+        ({"a": True}, {"a": 1}, "a: true or false"),
+    ],
+)
 def test_what_the_file_in_force_has_the_new_one_needs(force: Any, new: Any, found: str | None) -> None:
     got = lost([force], new)
     assert got == found or (got or "").startswith(found or "-")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -274,6 +274,7 @@
 
 def test_an_order_counts_the_memory_held_at_its_worker_once() -> None:
     """Seen in a profile of the day of the highest rate: counting it for each function took 40 % of a core."""
+
     class Weighed(Function):
         read = 0
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -21,9 +21,7 @@
 
 from .faulty import Crash, Disk, Killed
 
-FUZZ = settings(
-    max_examples=400, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
-)
+FUZZ = settings(max_examples=400, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 TOLD = StoreSettings("x", segment_mb=0.002)
 STEPS = st.lists(
     st.one_of(
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -103,8 +103,18 @@
     def __init__(self, council: OnePlace, name: str, collector: EmulatedCollector) -> None:
         self.turns = TurnsActor(Seen(council, name), name, PACE, len(council.told), Quiet())
         link = CollectorSettings(collector.address(), batch=20, batch_ms=20.0, answer_ms=100.0)
-        self.part = LedgerPart(LedgerSettings(collector=link), None, BackgroundSettings(time_share=0.9), name,
-                               SETTINGS, Limits(), Quiet(), 1, lambda: False, self.turns)  # fmt: skip
+        self.part = LedgerPart(
+            LedgerSettings(collector=link),
+            None,
+            BackgroundSettings(time_share=0.9),
+            name,
+            SETTINGS,
+            Limits(),
+            Quiet(),
+            1,
+            lambda: False,
+            self.turns,
+        )
         self.turns.start()
         self.part.start()
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -35,11 +35,17 @@
         (self.folder / "tmp").mkdir(exist_ok=True)
         self.manage = ("127.0.0.1", free_port())
         return subprocess.Popen(
-            self.command, cwd=ROOT, stdout=self.log, stderr=self.log,
-            env=os.environ | {"RELAY_CONFIG": str(self.folder / "config.json"),
-                              "RELAY_MANAGEMENT": "{}:{}".format(*self.manage),
-                              "TMPDIR": str(self.folder / "tmp")},
-        )  # fmt: skip
+            self.command,
+            cwd=ROOT,
+            stdout=self.log,
+            stderr=self.log,
+            env=os.environ
+            | {
+                "RELAY_CONFIG": str(self.folder / "config.json"),
+                "RELAY_MANAGEMENT": "{}:{}".format(*self.manage),
+                "TMPDIR": str(self.folder / "tmp"),
+            },
+        )
 
     def ask(self, line: str, where: tuple[str, int] | None = None) -> str:
         """One call of an operator, and its whole answer."""
@@ -69,8 +75,9 @@
 
     def audit(self) -> Counter[str]:
         """What became of the calls: lost ones, and those answered twice, are named as such."""
-        return Counter("twice" if c.answers > 1 else c.how or ("lost" if c.lost else "silent")
-                       for c in self.load.calls)  # fmt: skip
+        return Counter(
+            "twice" if c.answers > 1 else c.how or ("lost" if c.lost else "silent") for c in self.load.calls
+        )
 
 
 def end(process: subprocess.Popen[bytes]) -> tuple[int, float]:
@@ -260,10 +267,19 @@
     assert not fresh.functions["f"].copies and all(fresh.warmth(w) < 0.5 for w in fresh.workers.values())
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda d: b"", lambda d: d[:-1], lambda d: b"9" + d, lambda d: d.replace(b"workers", b"porters"),
-    lambda d: b"1 0\n{}", lambda d: b"x" + d, lambda d: d + b" ", lambda d: d[d.index(b"\n"):],
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda d: b"",
+        lambda d: d[:-1],
+        lambda d: b"9" + d,
+        lambda d: d.replace(b"workers", b"porters"),
+        lambda d: b"1 0\n{}",
+        lambda d: b"x" + d,
+        lambda d: d + b" ",
+        lambda d: d[d.index(b"\n") :],
+    ],
+)
 def test_what_was_handed_on_and_is_damaged_is_refused_whole(spoil: object) -> None:
     data = pack(learned().router)
     with pytest.raises(CarryError):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -13,15 +13,24 @@
 from harrieryoke import wirehost
 from harrieryoke.brain import Router
 
-INFO = json.dumps({
-    "classes": [{"name": "a", "goal-time": 500, "hard-limit": 2000, "repeat": "repeatable"}],
-    "extra": {"orders": True}, "ceilings": {"max-attempts": 3}, "novelty": {"x": 1},
-    "load-report": {"fields": ["concurrent", "x0", "unheard"]},
-})  # fmt: skip
+INFO = json.dumps(
+    {
+        "classes": [{"name": "a", "goal-time": 500, "hard-limit": 2000, "repeat": "repeatable"}],
+        "extra": {"orders": True},
+        "ceilings": {"max-attempts": 3},
+        "novelty": {"x": 1},
+        "load-report": {"fields": ["concurrent", "x0", "unheard"]},
+    }
+)
 START = [
-    "BEGIN_BATCH 100.5", f"INIT 3 77 {INFO}", "SHEET 0 2", "M 11 0 0 0 on 1 -", "M 12 0 0 0 on 1.5 6.0",
-    "FLEET 3 Persisted 41 0", "EOF_BATCH",
-]  # fmt: skip
+    "BEGIN_BATCH 100.5",
+    f"INIT 3 77 {INFO}",
+    "SHEET 0 2",
+    "M 11 0 0 0 on 1 -",
+    "M 12 0 0 0 on 1.5 6.0",
+    "FLEET 3 Persisted 41 0",
+    "EOF_BATCH",
+]
 ASKED = ["BEGIN_BATCH 102", "REQUEST 3 5 0 - m-x 2000 - 384 2 900 2", "EOF_BATCH"]
 
 
@@ -62,19 +71,28 @@
     assert talk(START) == ["INTERNAL_ERROR 3 RuntimeError: out of luck", "DONE"]
 
 
-@pytest.mark.parametrize("lines", [
-    ["HELLO"], ["BEGIN_BATCH x", "EOF_BATCH"], ["BEGIN_BATCH 1"],
-    ["BEGIN_BATCH 1", "WAKE 9 sweep", "EOF_BATCH"],
-    [*START, "BEGIN_BATCH 2", "REQUEST 3 5", "EOF_BATCH"], [*START, "BEGIN_BATCH 2", "NOISE 3", "EOF_BATCH"],
-    ["BEGIN_BATCH 1", "INIT 3 77 {not json}", "EOF_BATCH"],
-    ["BEGIN_BATCH 1", "SHEET 0 2", "M 1 0", "EOF_BATCH"],
-    [*START, "BEGIN_BATCH 2", "FLEET 3 Partial 2 9", "EOF_BATCH"],
-    [*START, "BEGIN_BATCH 2", "SETTLED 3 5 0 Vanished 1 - 11 0 -", "EOF_BATCH"],
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["HELLO"],
+        ["BEGIN_BATCH x", "EOF_BATCH"],
+        ["BEGIN_BATCH 1"],
+        ["BEGIN_BATCH 1", "WAKE 9 sweep", "EOF_BATCH"],
+        [*START, "BEGIN_BATCH 2", "REQUEST 3 5", "EOF_BATCH"],
+        [*START, "BEGIN_BATCH 2", "NOISE 3", "EOF_BATCH"],
+        ["BEGIN_BATCH 1", "INIT 3 77 {not json}", "EOF_BATCH"],
+        ["BEGIN_BATCH 1", "SHEET 0 2", "M 1 0", "EOF_BATCH"],
+        [*START, "BEGIN_BATCH 2", "FLEET 3 Partial 2 9", "EOF_BATCH"],
+        [*START, "BEGIN_BATCH 2", "SETTLED 3 5 0 Vanished 1 - 11 0 -", "EOF_BATCH"],
+    ],
+)
 def test_malformed_input_ends_with_a_plain_message(lines: list[str]) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "harrieryoke.wirehost"], input="\n".join(lines) + "\n", text=True,
-        capture_output=True, check=False,
-    )  # fmt: skip
+        [sys.executable, "-m", "harrieryoke.wirehost"],
+        input="\n".join(lines) + "\n",
+        text=True,
+        capture_output=True,
+        check=False,
+    )
     assert run.returncode == 2
     assert run.stderr.startswith("harrieryoke: malformed input") and "Traceback" not in run.stderr
