--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -33,6 +33,7 @@
     handed: bool = False  # the door wants to hear of its end
     cold: bool = False  # it waited for a load: its time tells nothing of what the hosts carry
     client: str = ""  # who asks, as its front knows it
+    abandoned: bool = False  # its client has gone; its front sets it at once, whoever is about to send reads it
 
 
 class Front(Protocol):
@@ -82,6 +83,7 @@
     sent: float
     wanted: bool = True
     begun: bool = False
+    start_by: float = float("inf")  # a send that begins later than this could be taken for a new request
 
 
 @dataclass(slots=True, eq=False)
