--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -155,8 +155,10 @@
         operator: str = "",
         broker: Broker | None = None,
         window: int = 6000,
+        settings: dict[str, Any] | None = None,
     ) -> None:
-        """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes."""
+        """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes.
+        Hosts have the first zone and flavor of the `settings`, which are SETTINGS if none are given."""
         self.broker = broker or Broker()
         self.folder, self.parties, self.offset = folder, {b: Party(listener()) for b in ("bus", "bus2")}, 0
         self.hosts = {f"h{n + 1}": Party(listener()) for n in range(hosts)}
@@ -165,8 +167,11 @@
         self.address, self.management = map(where, free)
         for sock in free:
             sock.close()
+        if settings is None:
+            settings = copy.deepcopy(SETTINGS)
+            settings["classes"][1]["repeat-window"] = window
+        self.zone, self.flavor = settings["zones"][0], settings["flavors"][0]
         known = [self.event("active", *self.hosts)] if hosts else []
-        settings = copy.deepcopy(SETTINGS)
         config: dict[str, Any] = {
             "name": "n0",
             "listen": self.address,
@@ -177,7 +182,6 @@
             "bus": self.parties["bus"].address(),
             "known": {"offset": self.offset, "batch": known},
         }
-        settings["classes"][1]["repeat-window"] = window
         self.config = config
         self.send_config()
         env = os.environ | {"RELAY_CONFIG": str(folder / "config.json")}
@@ -208,8 +212,8 @@
             {
                 "id": name,
                 "addr": self.hosts[at or name].address(),
-                "zone": "hall-a",
-                "kind": "std-4",
+                "zone": self.zone,
+                "kind": self.flavor,
                 "cell": 0,
                 "state": state,
                 "weight": 1,
