--- /dev/null
+++ b/harrieryoke/net/jsonrpc.py
@@ -0,0 +1,47 @@
+"""JSON-RPC 2.0 as clients speak it: messages, their parameters and the codes of errors."""
+
+from __future__ import annotations
+
+import msgspec
+
+REFUSED, FAILED = -32050, -32000
+PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
+
+
+class Message(msgspec.Struct):
+    method: str
+    id: int | None = None
+    jsonrpc: str = ""
+    params: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class CallParams(msgspec.Struct):
+    rid: str
+    budget: float
+    obj: str
+    acct: str | None = None
+    token: str | None = None
+    props: str = ""
+    blob: bytes = b""
+
+
+class GiveUpParams(msgspec.Struct):
+    id: int | None = None
+    rid: str | None = None
+
+
+class BadRequest(ValueError):
+    """What a client sent is no request; `code` is JSON-RPC's."""
+
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+def read_props(text: str) -> dict[str, float]:
+    """`name:number;name:number`; names it does not know are left alone by its caller."""
+    read = {}
+    for pair in text.split(";") if text else []:
+        name, _, value = pair.partition(":")
+        read[name] = float(value)
+    return read
