End a client's connection the moment it goes, and write its answers without a wait

Lines that the reader held were lost where a connection was closed or handed over while the mailbox was full.

Change: the reader ends the connection itself (`end`): the actor takes no more messages, open calls get `abandoned`, nothing is written. While the mailbox is full it looks every 20 ms whether the client has hung up (POLLRDHUP; the end lies behind bytes not yet read). A giveUp sets `abandoned` too. net/outgoing.py writes: at once what the socket takes, the remainder in a greenlet that lives only while something is unsent, within 256 messages and the size of the answers to all requests that may be open; past this, or after write_ms without progress, the client is lost as before. Closing and handing over wait until all is written and all lines are posted. A half-closed connection counts as gone, also for lines before the half-close.

Not forced by a test: the second look at the mailbox in `hand_over`, after the reader has ended.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-from gevent import socket
+from gevent import monkey, socket
 
 from ..core.actor import Actor, now_ms, spawn
 from ..core.calls import BadCall, CallMaker
@@ -20,37 +21,54 @@
     FAILED,
     INVALID,
     NO_METHOD,
-    PARSE,
     REFUSED,
     BadRequest,
     CallParams,
     GiveUpParams,
     Message,
+    decode,
     read_props,
 )
+from .outgoing import Outgoing
 
+HANG_UP_CHECK_MS = 20.0  # while the mailbox is full, the reader looks this often whether the client has gone
+UNSENT_MESSAGES = 256
+ANSWER_HEAD_BYTES = 256  # of an answer, beside its body
 
-@dataclass(slots=True)
+# the original: where the standard library is patched for gevent, its stand-in does not know POLLRDHUP
+poll = monkey.get_original("select", "poll")
+
+
+def has_hung_up(sock: socket.socket) -> bool:
+    """Whether the peer has closed, half-closed or reset the connection, also behind bytes not yet read."""
+    poller = poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+@dataclass(frozen=True, slots=True)
 class Line:
     data: bytes
     at: float
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Answer:
     call: Call
     reply: dict[str, Any]
 
 
-class Ended:
-    """The client's side of the connection is over."""
+@dataclass(frozen=True, slots=True)
+class AllSent:
+    """What could not be written at once has been written."""
 
 
+@dataclass(frozen=True, slots=True)
 class CloseIfIdle:
-    """Nothing more is expected here: the connection goes once no request is open on it."""
+    """Nothing more is expected here: the connection closes once no request is open on it."""
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class PassOn:
     """The connection goes to another process once no request is open on it: `to` gets the socket, and with it
     all that nobody has read yet, and the client's name."""
@@ -73,7 +91,7 @@
     ) -> None:
         # the reserve is kept for answers: they must find room however fast a client writes
         super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
-        # guards against a client that does not read: its answer fails, and its connection ends
+        # a client that reads nothing for this long loses its connection
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
         self.client, self.peer = name, name.rpartition(":")[0]
@@ -81,9 +99,15 @@
         self.ids: dict[Call, int] = {}
         self.stopping = False
         self.going: PassOn | None = None
-        self.rest: bytes | None = b""  # of a line that is not yet whole; None at the connection's end
+        self.partial = b""  # of a line that is not yet whole
+        self.unposted: list[bytes] = []  # whole lines that are not in the mailbox yet, the newest first
         self.used = now_ms()  # the last sign of life, or the first byte of a line that is not yet whole
-        self.asked, self.begun = False, False  # a whole line has come; a part of the next one has
+        self.asked = False  # a whole line has come
+        # as much as the answers to all requests that may be open at once
+        most_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_HEAD_BYTES)
+        self.outgoing = Outgoing(
+            sock, self.name, UNSENT_MESSAGES, most_bytes, log, lambda: self.tell(AllSent()), self.lost
+        )
 
     # --- the core's side ---
 
@@ -103,17 +127,17 @@
 
     def quiet(self, now: float) -> float | None:
         """For how long nothing has come that is whole; None while something is open. The front reads this."""
-        return None if self.open or self.box else now - self.used
+        return None if self.open or self.box or self.unposted or self.outgoing.unsent else now - self.used
 
     def stale(self, now: float, stepped: float) -> bool:
-        """Guards the descriptors against clients that never ask, stop within a line, or never close. What the
-        clock stepped over at `stepped` was no silence of theirs."""
-        idle = self.asked and not self.begun
+        """Whether the client never asks, has stopped within a line, or never closes: its descriptor is wanted
+        for others. What the clock stepped over at `stepped` was no silence of the client."""
+        idle = self.asked and not self.partial
         quiet = min(self.quiet(now) or 0.0, now - stepped)
         return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
 
     def unread(self) -> bool:
-        """Guards against closing on a request that has come but was not read yet."""
+        """Whether something has come that the reader has not taken yet."""
         self.sock.settimeout(0)
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK))
@@ -132,27 +156,56 @@
     def read(self) -> None:
         """The reader's greenlet: cuts the stream into lines."""
         try:
-            while self.rest is not None:
+            while self.post():
                 try:
                     data = self.sock.recv(self.limits.line_bytes // 4)
                 except TimeoutError:
                     continue
-                self.rest = self.cut(self.rest + data) if data else None
+                if not data or not self.cut(self.partial + data):
+                    break
         except OSError:
-            pass
-        self.push(Ended())
-
-    def cut(self, data: bytes) -> bytes | None:
-        """Posts the whole lines and returns the rest, or None where a line is too long. The lines stay alive
-        here only: the reader would hold them while it waits, for each of hundreds of clients."""
-        *lines, rest = data.split(b"\n")
-        if max(map(len, lines), default=0) > self.limits.line_bytes or len(rest) > self.limits.line_bytes:
+            pass  # a reset: as the end of the stream
+        self.end()
+
+    def cut(self, data: bytes) -> bool:
+        """Keeps the whole lines to be posted and the part behind them; False where a line is too long."""
+        *lines, partial = data.split(b"\n")
+        if max(map(len, [*lines, partial])) > self.limits.line_bytes:
             self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
-            return None
-        if lines or not self.begun:
+            return False
+        if lines or not self.partial:
             self.used = now_ms()
-        self.asked, self.begun = self.asked or bool(lines), bool(rest)
-        return rest if all(self.push(Line(line, now_ms())) for line in lines) else None
+        self.asked, self.partial, self.unposted = self.asked or bool(lines), partial, lines[::-1]
+        return True
+
+    def post(self) -> bool:
+        """Posts the whole lines; False where the connection has ended. Backpressure on the client: waits
+        while the mailbox is full up to its reserve, unless the client goes. The end of the stream lies
+        behind what was not read, so `recv` would show it too late."""
+        while self.unposted and not self.over:
+            if len(self.box) < self.bound - self.reserve:
+                self.tell(Line(self.unposted.pop(), now_ms()))
+            elif has_hung_up(self.sock):
+                return False
+            else:
+                self.emptied.clear()
+                self.emptied.wait(HANG_UP_CHECK_MS / 1000)
+        return not self.over
+
+    def end(self) -> None:
+        """The connection is over, at once and ahead of what is in the mailbox: lines not yet handled are
+        dropped, nothing is written, and no attempt may begin for what is open."""
+        self.over = True
+        self.outgoing.close()
+        for call in self.ids:
+            call.abandoned = True
+        self.filled.set()
+        self.emptied.set()
+
+    def lost(self, reason: str) -> None:
+        """Nothing more can be written to the client."""
+        self.log("client-lost", f"{self.name}: {reason}")
+        self.end()
 
     def receive(self, message: Any) -> None:
         match message:
@@ -161,58 +214,63 @@
                     self.line(data, at)
             case Answer(call, reply):
                 self.answer(call, reply)
-            case Ended():
-                self.over = True
             case CloseIfIdle():
                 self.stopping = True
             case PassOn():
                 self.going = message
-        if self.going is not None and not self.over and not self.open and not self.box and not self.begun:
+            case AllSent():
+                pass  # whoever waits for this goes on below
+        if not (self.over or self.open or self.box or self.unposted or self.outgoing.unsent):
+            self.leave_if_asked()
+
+    def leave_if_asked(self) -> None:
+        """Nothing is open, unsent or on its way through the mailbox."""
+        if self.going is not None and not self.partial:
             self.hand_over(self.going)
-        elif self.stopping and not self.open and not self.box and (self.begun or not self.unread()):
+        elif self.stopping and (self.partial or not self.unread()):
             self.over = True
 
     def hand_over(self, going: PassOn) -> None:
-        """Guards against what the reader took off the socket as it was ended: it stays here for now."""
+        """The socket is another's from here: nothing is read or written on it. What the reader took off it
+        as it was ended keeps the connection here for now."""
         self.reader.kill()
-        if self.box or self.begun or self.rest is None:
+        if self.over:
+            return
+        if self.box or self.unposted or self.partial:
             return self.start_reading()
-        # guards against what comes after this: the socket is another's, and nothing is read or written here
         self.over, handed = True, self.sock
         self.sock = socket.socket()
         going.to(handed, self.client)
 
     def line(self, data: bytes, at: float) -> None:
-        id, sort = None, ""
+        id, method = None, ""
         try:
-            try:
-                m: Message = msgspec.json.decode(data, type=Message)
-            except msgspec.ValidationError as error:
-                raise BadRequest(INVALID, str(error)) from None
-            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-                raise BadRequest(PARSE, str(error)) from None
-            sort = m.method
+            m = decode(data)
+            method = m.method
             if m.jsonrpc != "2.0":
                 raise BadRequest(INVALID, "jsonrpc: '2.0' is wanted")
-            if m.method == "giveUp":
+            if method == "giveUp":
                 return self.give_up(m)
             if m.id is None or m.id in self.open:
-                # guards against a second answer under an id that is still open
+                # a second answer could come under an id that is still open
                 raise BadRequest(INVALID, "id: a new number is wanted")
             id = m.id
-            if m.method == "probe":
+            if method == "probe":
                 return self.write({"id": id, "result": {"healthy": True}})
             if len(self.open) >= self.limits.open_per_connection:
                 raise BadRequest(REFUSED, "too many open requests on this connection")
-            call = self.call(m.method, bytes(m.params), at)
+            call = self.call(method, bytes(m.params), at)
         except BadRequest as error:
-            self.log("bad-request", f"{self.name}: {error}")
-            if sort in self.maker.classes:
-                self.core.figures.ended(sort, "refused" if error.code == REFUSED else "failed")
-            return self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
+            return self.reject(id, method, error)
         self.open[id], self.ids[call] = call, id
         self.core.offer(call, self)
 
+    def reject(self, id: int | None, method: str, error: BadRequest) -> None:
+        self.log("bad-request", f"{self.name}: {error}")
+        if method in self.maker.classes:
+            self.core.figures.ended(method, "refused" if error.code == REFUSED else "failed")
+        self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
+
     def call(self, method: str, params: bytes, at: float) -> Call:
         if method not in self.maker.classes:
             raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
@@ -237,6 +295,7 @@
             id = next((n for n, call in self.open.items() if call.rid == p.rid), None)
         if id is not None and (call := self.open.pop(id, None)) is not None:
             del self.ids[call]
+            call.abandoned = True
             self.core.withdraw(call)
 
     def answer(self, call: Call, reply: dict[str, Any]) -> None:
@@ -246,15 +305,12 @@
             self.write({"id": id} | reply)
 
     def write(self, reply: dict[str, Any]) -> None:
-        try:
-            self.sock.sendall(msgspec.json.encode({"jsonrpc": "2.0"} | reply) + b"\n")
-        except OSError as error:
-            self.log("client-lost", f"{self.name}: {error}")
-            self.over = True
+        self.outgoing.put(msgspec.json.encode({"jsonrpc": "2.0"} | reply) + b"\n")
 
     def finish(self) -> None:
         """The connection is over: what was open on it is withdrawn."""
         super().finish()
+        self.end()
         self.sock.close()
         for call in self.ids:
             self.core.withdraw(call)
--- a/harrieryoke/net/jsonrpc.py
+++ b/harrieryoke/net/jsonrpc.py
@@ -45,3 +45,14 @@
         name, _, value = pair.partition(":")
         read[name] = float(value)
     return read
+
+
+def decode(data: bytes) -> Message:
+    """One line as a message. Raises BadRequest."""
+    try:
+        message: Message = msgspec.json.decode(data, type=Message)
+    except msgspec.ValidationError as error:
+        raise BadRequest(INVALID, str(error)) from None
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise BadRequest(PARSE, str(error)) from None
+    return message
--- /dev/null
+++ b/harrieryoke/net/outgoing.py
@@ -0,0 +1,105 @@
+"""What is still to be written to one client: messages in order, without a wait for whoever gives them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+
+from ..core.actor import spawn
+from ..log import Log
+
+
+class Outgoing:
+    """The unsent messages of one socket. `put` never waits: what the socket does not take at once is written
+    by a greenlet that exists only while something is unsent.
+
+    `sent` is called when that greenlet has written all, `lost` with the reason when nothing more can be
+    written: the socket failed, took nothing for its time-out, or more is unsent than the bounds allow."""
+
+    __slots__ = (
+        "closed",
+        "log",
+        "lost",
+        "most_bytes",
+        "most_messages",
+        "name",
+        "sent",
+        "size",
+        "sock",
+        "unsent",
+        "writer",
+    )
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        name: str,
+        most_messages: int,
+        most_bytes: int,
+        log: Log,
+        sent: Callable[[], object],
+        lost: Callable[[str], object],
+    ) -> None:
+        self.sock, self.name, self.log, self.sent, self.lost = sock, name, log, sent, lost
+        self.most_messages, self.most_bytes = most_messages, most_bytes
+        self.unsent: list[bytes] = []
+        self.size = 0  # bytes in `unsent`
+        self.writer: gevent.Greenlet | None = None
+        self.closed = False
+
+    def put(self, data: bytes) -> None:
+        """Writes the message behind those given before."""
+        if self.closed:
+            return
+        if len(self.unsent) >= self.most_messages or self.size + len(data) > self.most_bytes:
+            return self.fail(f"{len(self.unsent)} messages of {self.size} bytes are unsent")
+        self.unsent.append(data)
+        self.size += len(data)
+        if self.writer is None:
+            self.send_at_once()
+
+    def send_at_once(self) -> None:
+        """As much as the socket takes without a wait; a greenlet writes what remains."""
+        try:
+            self.send(timeout=0.0)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            return self.fail(str(error))
+        if self.unsent:
+            self.writer = spawn(self.log, f"{self.name} writer", self.write)
+
+    def send(self, **timeout: float) -> None:
+        data = self.unsent[0]
+        count = self.sock.send(data, **timeout)
+        if self.closed:
+            return
+        self.size -= count
+        if count < len(data):
+            self.unsent[0] = data[count:]
+        else:
+            self.unsent.pop(0)
+
+    def write(self) -> None:
+        """The writer's greenlet: each send waits for the socket's time-out at most."""
+        try:
+            while self.unsent:
+                self.send()
+        except OSError as error:
+            return self.fail(str(error))
+        self.writer = None
+        if not self.closed:
+            self.sent()
+
+    def fail(self, reason: str) -> None:
+        if not self.closed:
+            self.close()
+            self.lost(reason)
+
+    def close(self) -> None:
+        """Nothing is written from here on."""
+        self.closed = True
+        self.unsent.clear()
+        self.size = 0
--- /dev/null
+++ b/tests/clients.py
@@ -0,0 +1,122 @@
+"""A client's connection on loopback with its real actor, and a core that a test plays."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from harrieryoke import interface as i
+from harrieryoke.core.calls import CallMaker
+from harrieryoke.core.figures import Figures
+from harrieryoke.core.records import Call, Front
+from harrieryoke.limits import Limits
+from harrieryoke.log import Log
+from harrieryoke.net.client import ClientActor
+
+PATIENCE = 5.0  # seconds until a step that should come at once is held to have failed
+LONG_MS = 60000.0  # a write's time-out that no test waits for
+KINDS = i.Settings((i.RequestClass("weight-read", 1000, 4000),))
+BODY = b"b" * 16000
+
+
+def until(condition: Callable[[], object], what: str) -> None:
+    with gevent.Timeout(PATIENCE, AssertionError(f"never seen: {what}")):
+        while not condition():
+            gevent.sleep(0.001)
+
+
+class Quiet(Log):
+    """Keeps the kinds of its lines."""
+
+    def put(self, *told: object) -> None: ...
+
+
+class Core:
+    """In the module's place: `offer` waits while the gate is closed; `answers`: each call at once."""
+
+    def __init__(self) -> None:
+        self.figures, self.gate, self.answers = Figures(["weight-read"]), Event(), False
+        self.gate.set()
+        self.offered: dict[int, Call] = {}
+        self.withdrawn: list[int] = []
+
+    def offer(self, call: Call, front: Front) -> bool:
+        self.offered[int(call.rid, 16)] = call
+        self.gate.wait()
+        if self.answers:
+            front.served(call, b"")
+        return True
+
+    def withdraw(self, call: Call) -> bool:
+        self.withdrawn.append(int(call.rid, 16))
+        return True
+
+
+def line(id: int, method: str = "weight-read") -> bytes:
+    """A call, a probe, or the giveUp of `id`."""
+    params: dict[str, Any] = {"rid": f"{id:016x}", "budget": 3500, "obj": "7f3a9c21e0b4d655"}
+    told: dict[str, Any] = {"jsonrpc": "2.0", "method": method, "id": id, "params": params}
+    if method == "giveUp":
+        told = {"jsonrpc": "2.0", "method": method, "params": {"id": id}}
+    return json.dumps(told).encode() + b"\n"
+
+
+class Connection:
+    """Both ends of one connection: `sock` is the client's, `actor` has the other, with small buffers."""
+
+    def __init__(self, **limits: Any) -> None:
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            self.sock = socket.socket()
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            self.sock.connect(listening.getsockname())
+            served, _ = listening.accept()
+        served.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        self.core, self.log, self.gone = Core(), Quiet(), Event()
+        told: Any = Limits(**{"write_ms": LONG_MS} | limits)
+        core: Any = self.core
+        maker = CallMaker(KINDS, told)
+        self.actor = ClientActor(served, "c:1", maker, core, told, self.log, lambda _: self.gone.set())
+        self.actor.start()
+
+    def send(self, *lines: bytes) -> None:
+        self.sock.sendall(b"".join(lines))
+
+    def ask(self, *ids: int) -> None:
+        """Calls, until the core has them."""
+        self.send(*map(line, ids))
+        until(lambda: self.core.offered.keys() >= set(ids), f"offered {ids}")
+
+    def answer(self, id: int, body: bytes = BODY) -> None:
+        self.actor.served(self.core.offered[id], body)
+
+    def block(self, id: int) -> None:
+        """Answers the call with more than the client, who does not read, has room for."""
+        self.answer(id)
+        until(lambda: not self.actor.box and self.actor.outgoing.unsent, "an answer that can't be written")
+
+    def read(self, count: int) -> list[tuple[int, int]]:
+        """Reads so many answers: id and length of the body."""
+        stream, data = [], b""
+        with gevent.Timeout(PATIENCE, AssertionError("an answer is missing")):
+            while data.count(b"\n") < count:
+                got = self.sock.recv(65536)
+                assert got, f"the connection ended behind {len(data)} bytes"
+                data += got
+        for text in data.splitlines():
+            told = json.loads(text)
+            stream.append((told["id"], len(base64.b64decode(told["result"].get("blob", "")))))
+        return stream
+
+    def close(self) -> None:
+        self.core.gate.set()
+        self.sock.close()
+        assert self.gone.wait(PATIENCE), "the actor did not end"
+        assert not self.log.totals.get("greenlet-died")
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,126 @@
+"""A client that goes: from then on nothing is offered or written for it, whatever waits at that moment."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+from gevent import socket
+
+from harrieryoke.net.client import CloseIfIdle, PassOn
+
+from .clients import BODY, Connection, line, until
+
+
+@contextmanager
+def connected(**limits: Any) -> Iterator[Connection]:
+    connection = Connection(**limits)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+def leave(sock: socket.socket, how: str) -> None:
+    if how == "half-closes":
+        sock.shutdown(socket.SHUT_WR)
+        return
+    if how == "resets":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+WAYS = pytest.mark.parametrize("how", ["closes", "half-closes", "resets"])
+
+
+@WAYS
+def test_client_leaves_behind_an_answer_it_does_not_read(how: str) -> None:
+    with connected() as c:
+        c.ask(1, 2)
+        c.block(1)
+        leave(c.sock, how)
+        until(lambda: c.core.offered[2].abandoned, "abandoned")
+        until(lambda: c.core.withdrawn == [2], "withdrawn")
+        assert c.actor.outgoing.unsent == []
+
+
+@WAYS
+@pytest.mark.parametrize("behind", [3, 40], ids=["few lines", "more lines than the mailbox takes"])
+def test_lines_before_the_end_are_dropped_while_the_actor_waits(how: str, behind: int) -> None:
+    with connected() as c:
+        c.core.gate.clear()
+        c.ask(1)
+        c.send(*(line(n) for n in range(2, 2 + behind)))
+        until(lambda: len(c.actor.box) == min(behind, 16), "lines in the mailbox")
+        leave(c.sock, how)
+        until(lambda: c.core.offered[1].abandoned, "abandoned")
+        c.core.gate.set()
+        assert c.gone.wait(10)
+        assert list(c.core.offered) == c.core.withdrawn == [1]
+
+
+def test_give_up_and_new_calls_behind_an_answer_that_cannot_be_written() -> None:
+    with connected() as c:
+        c.ask(1, 2, 3)
+        c.block(1)
+        c.send(line(2, "giveUp"))
+        until(lambda: c.core.withdrawn == [2], "withdrawn")
+        assert c.core.offered[2].abandoned and not c.core.offered[3].abandoned
+        c.ask(4)
+        c.answer(2)
+        c.answer(4, b"4")
+        c.answer(3, b"")
+        assert c.read(3) == [(1, len(BODY)), (4, 1), (3, 0)]
+
+
+def test_hand_over_waits_until_all_is_written_in_order() -> None:
+    with connected() as c:
+        handed: list[socket.socket] = []
+        c.ask(1, 2)
+        c.block(1)
+        c.answer(2)
+        c.actor.tell(PassOn(lambda sock, name: handed.append(sock)))
+        until(lambda: not c.actor.open and not c.actor.box, "nothing open")
+        assert not handed
+        assert c.read(2) == [(1, len(BODY)), (2, len(BODY))]
+        until(lambda: handed, "handed over")
+        c.actor.write({"id": 3})
+        handed[0].sendall(b"from the other process")
+        assert c.sock.recv(100) == b"from the other process"
+        handed[0].close()
+
+
+@pytest.mark.parametrize("how", ["close", "hand-over"])
+def test_leaving_waits_for_lines_that_the_mailbox_had_no_room_for(how: str) -> None:
+    with connected() as c:
+        handed: list[socket.socket] = []
+        c.core.answers = True
+        c.core.gate.clear()
+        c.ask(1)
+        c.send(*(line(n, "probe") for n in range(2, 42)))
+        until(lambda: len(c.actor.box) == 16 and c.actor.unposted, "a full mailbox")
+        c.actor.tell(CloseIfIdle() if how == "close" else PassOn(lambda sock, name: handed.append(sock)))
+        c.core.gate.set()
+        assert sorted(id for id, _ in c.read(41)) == list(range(1, 42))
+        assert c.gone.wait(10) and len(handed) == (how == "hand-over")
+        for sock in handed:
+            sock.close()
+
+
+@pytest.mark.parametrize(
+    ("limits", "answers"),
+    [({"write_ms": 100.0}, 1), ({"body_bytes": 16384, "open_per_connection": 4}, 5)],
+    ids=["it reads nothing for write_ms", "more is unsent than the bound"],
+)
+def test_client_that_does_not_read_is_lost(limits: dict[str, Any], answers: int) -> None:
+    with connected(**limits) as c:
+        c.ask(100)
+        for n in range(1, 1 + answers):
+            c.ask(n)
+            c.answer(n)
+        assert c.gone.wait(10)
+        assert c.log.totals == {"client-lost": 1}
+        assert c.core.offered[100].abandoned and 100 in c.core.withdrawn
