--- /dev/null
+++ b/harrieryoke/net/client.py
@@ -0,0 +1,317 @@
+"""One client connection: its actor reads lines in order and writes the answers."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from gevent import monkey, socket
+
+from ..core.actor import Actor, now_ms, spawn
+from ..core.calls import BadCall, CallMaker
+from ..core.module import ModuleActor
+from ..core.records import Call
+from ..limits import Limits
+from ..log import Log
+from .jsonrpc import (
+    BAD_PARAMS,
+    FAILED,
+    INVALID,
+    NO_METHOD,
+    REFUSED,
+    BadRequest,
+    CallParams,
+    GiveUpParams,
+    Message,
+    decode,
+    read_props,
+)
+from .outgoing import Outgoing
+
+HANG_UP_CHECK_MS = 20.0  # while the mailbox is full, the reader looks this often whether the client has gone
+UNSENT_MESSAGES = 256
+ANSWER_HEAD_BYTES = 256  # of an answer, beside its body
+
+# the original: where the standard library is patched for gevent, its stand-in does not know POLLRDHUP
+poll = monkey.get_original("select", "poll")
+
+
+def has_hung_up(sock: socket.socket) -> bool:
+    """Whether the peer has closed, half-closed or reset the connection, also behind bytes not yet read."""
+    poller = poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    data: bytes
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    call: Call
+    reply: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class AllSent:
+    """What could not be written at once has been written."""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIfIdle:
+    """Nothing more is expected here: the connection closes once no request is open on it."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """The connection goes to another process once no request is open on it: `to` gets the socket, and with it
+    all that nobody has read yet, and the client's name."""
+
+    to: Callable[[socket.socket, str], object]
+
+
+class ClientActor(Actor):
+    """One client connection: reads its lines in order, keeps what is open on it, writes its answers."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        name: str,
+        maker: CallMaker,
+        core: ModuleActor,
+        limits: Limits,
+        log: Log,
+        gone: Callable[[ClientActor], object],
+    ) -> None:
+        # the reserve is kept for answers: they must find room however fast a client writes
+        super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
+        # a client that reads nothing for this long loses its connection
+        sock.settimeout(limits.write_ms / 1000)
+        self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
+        self.client, self.peer = name, name.rpartition(":")[0]
+        self.open: dict[int, Call] = {}
+        self.ids: dict[Call, int] = {}
+        self.stopping = False
+        self.going: PassOn | None = None
+        self.partial = b""  # of a line that is not yet whole
+        self.unposted: list[bytes] = []  # whole lines that are not in the mailbox yet, the newest first
+        self.used = now_ms()  # the last sign of life, or the first byte of a line that is not yet whole
+        self.asked = False  # a whole line has come
+        # as much as the answers to all requests that may be open at once
+        most_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_HEAD_BYTES)
+        self.outgoing = Outgoing(
+            sock, self.name, UNSENT_MESSAGES, most_bytes, log, lambda: self.tell(AllSent()), self.lost
+        )
+
+    # --- the core's side ---
+
+    def served(self, call: Call, body: bytes) -> None:
+        self.tell(Answer(call, {"result": {"blob": body}}))
+
+    def refused(self, call: Call, retry_after: float | None) -> None:
+        error: dict[str, Any] = {"code": REFUSED, "message": "refused: trying again is harmless"}
+        if retry_after:
+            error["data"] = {"backoff": round(retry_after)}
+        self.tell(Answer(call, {"error": error}))
+
+    def failed(self, call: Call, reason: str) -> None:
+        self.tell(Answer(call, {"error": {"code": FAILED, "message": f"failed: {reason}"}}))
+
+    # --- the connection ---
+
+    def quiet(self, now: float) -> float | None:
+        """For how long nothing has come that is whole; None while something is open. The front reads this."""
+        return None if self.open or self.box or self.unposted or self.outgoing.unsent else now - self.used
+
+    def stale(self, now: float, stepped: float) -> bool:
+        """Whether the client never asks, has stopped within a line, or never closes: its descriptor is wanted
+        for others. What the clock stepped over at `stepped` was no silence of the client."""
+        idle = self.asked and not self.partial
+        quiet = min(self.quiet(now) or 0.0, now - stepped)
+        return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
+
+    def unread(self) -> bool:
+        """Whether something has come that the reader has not taken yet."""
+        self.sock.settimeout(0)
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+        finally:
+            self.sock.settimeout(self.limits.write_ms / 1000)
+
+    def start(self) -> None:
+        super().start()
+        self.start_reading()
+
+    def start_reading(self) -> None:
+        self.reader = spawn(self.log, f"{self.name} reader", self.read)
+
+    def read(self) -> None:
+        """The reader's greenlet: cuts the stream into lines."""
+        try:
+            while self.post():
+                try:
+                    data = self.sock.recv(self.limits.line_bytes // 4)
+                except TimeoutError:
+                    continue
+                if not data or not self.cut(self.partial + data):
+                    break
+        except OSError:
+            pass  # a reset: as the end of the stream
+        self.end()
+
+    def cut(self, data: bytes) -> bool:
+        """Keeps the whole lines to be posted and the part behind them; False where a line is too long."""
+        *lines, partial = data.split(b"\n")
+        if max(map(len, [*lines, partial])) > self.limits.line_bytes:
+            self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
+            return False
+        if lines or not self.partial:
+            self.used = now_ms()
+        self.asked, self.partial, self.unposted = self.asked or bool(lines), partial, lines[::-1]
+        return True
+
+    def post(self) -> bool:
+        """Posts the whole lines; False where the connection has ended. Backpressure on the client: waits
+        while the mailbox is full up to its reserve, unless the client goes. The end of the stream lies
+        behind what was not read, so `recv` would show it too late."""
+        while self.unposted and not self.over:
+            if len(self.box) < self.bound - self.reserve:
+                self.tell(Line(self.unposted.pop(), now_ms()))
+            elif has_hung_up(self.sock):
+                return False
+            else:
+                self.emptied.clear()
+                self.emptied.wait(HANG_UP_CHECK_MS / 1000)
+        return not self.over
+
+    def end(self) -> None:
+        """The connection is over, at once and ahead of what is in the mailbox: lines not yet handled are
+        dropped, nothing is written, and no attempt may begin for what is open."""
+        self.over = True
+        self.outgoing.close()
+        for call in self.ids:
+            call.abandoned = True
+        self.filled.set()
+        self.emptied.set()
+
+    def lost(self, reason: str) -> None:
+        """Nothing more can be written to the client."""
+        self.log("client-lost", f"{self.name}: {reason}")
+        self.end()
+
+    def receive(self, message: Any) -> None:
+        match message:
+            case Line(data, at):
+                if data.strip():
+                    self.line(data, at)
+            case Answer(call, reply):
+                self.answer(call, reply)
+            case CloseIfIdle():
+                self.stopping = True
+            case PassOn():
+                self.going = message
+            case AllSent():
+                pass  # whoever waits for this goes on below
+        if not (self.over or self.open or self.box or self.unposted or self.outgoing.unsent):
+            self.leave_if_asked()
+
+    def leave_if_asked(self) -> None:
+        """Nothing is open, unsent or on its way through the mailbox."""
+        if self.going is not None and not self.partial:
+            self.hand_over(self.going)
+        elif self.stopping and (self.partial or not self.unread()):
+            self.over = True
+
+    def hand_over(self, going: PassOn) -> None:
+        """The socket is another's from here: nothing is read or written on it. What the reader took off it
+        as it was ended keeps the connection here for now."""
+        self.reader.kill()
+        if self.over:
+            return
+        if self.box or self.unposted or self.partial:
+            return self.start_reading()
+        self.over, handed = True, self.sock
+        self.sock = socket.socket()
+        going.to(handed, self.client)
+
+    def line(self, data: bytes, at: float) -> None:
+        id, method = None, ""
+        try:
+            m = decode(data)
+            method = m.method
+            if m.jsonrpc != "2.0":
+                raise BadRequest(INVALID, "jsonrpc: '2.0' is wanted")
+            if method == "giveUp":
+                return self.give_up(m)
+            if m.id is None or m.id in self.open:
+                # a second answer could come under an id that is still open
+                raise BadRequest(INVALID, "id: a new number is wanted")
+            id = m.id
+            if method == "probe":
+                return self.write({"id": id, "result": {"healthy": True}})
+            if len(self.open) >= self.limits.open_per_connection:
+                raise BadRequest(REFUSED, "too many open requests on this connection")
+            call = self.call(method, bytes(m.params), at)
+        except BadRequest as error:
+            return self.reject(id, method, error)
+        self.open[id], self.ids[call] = call, id
+        self.core.offer(call, self)
+
+    def reject(self, id: int | None, method: str, error: BadRequest) -> None:
+        self.log("bad-request", f"{self.name}: {error}")
+        if method in self.maker.classes:
+            self.core.figures.ended(method, "refused" if error.code == REFUSED else "failed")
+        self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
+
+    def call(self, method: str, params: bytes, at: float) -> Call:
+        if method not in self.maker.classes:
+            raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
+        try:
+            p: CallParams = msgspec.json.decode(params, type=CallParams)
+            made = self.maker.make(
+                method, p.rid, p.obj, p.budget, at, p.blob, p.token, p.acct, read_props(p.props)
+            )
+            made.client = self.peer
+            return made
+        except (msgspec.MsgspecError, BadCall, ValueError) as error:
+            raise BadRequest(BAD_PARAMS, str(error)) from None
+
+    def give_up(self, m: Message) -> None:
+        """Named by its id or its rid; after this nothing is written for it."""
+        try:
+            p: GiveUpParams = msgspec.json.decode(bytes(m.params), type=GiveUpParams)
+        except msgspec.MsgspecError as error:
+            raise BadRequest(BAD_PARAMS, str(error)) from None
+        id = p.id if p.id is not None else m.id
+        if p.rid is not None:
+            id = next((n for n, call in self.open.items() if call.rid == p.rid), None)
+        if id is not None and (call := self.open.pop(id, None)) is not None:
+            del self.ids[call]
+            call.abandoned = True
+            self.core.withdraw(call)
+
+    def answer(self, call: Call, reply: dict[str, Any]) -> None:
+        if (id := self.ids.pop(call, None)) is not None:
+            del self.open[id]
+            self.used = now_ms()
+            self.write({"id": id} | reply)
+
+    def write(self, reply: dict[str, Any]) -> None:
+        self.outgoing.put(msgspec.json.encode({"jsonrpc": "2.0"} | reply) + b"\n")
+
+    def finish(self) -> None:
+        """The connection is over: what was open on it is withdrawn."""
+        super().finish()
+        self.end()
+        self.sock.close()
+        for call in self.ids:
+            self.core.withdraw(call)
+        self.gone(self)
