Split a model host's connection and the reading of its answers out of net/host.py

net/link.py has one connection and what is out on it, net/answers.py what an answer's fields say; net/host.py keeps the actor. Nothing else is changed: the names moved, and two tests import them from where they are now.

--- /dev/null
+++ b/harrieryoke/net/answers.py
@@ -0,0 +1,35 @@
+"""What a model host's answer says, read from the fields of its frame."""
+
+from __future__ import annotations
+
+from .. import interface as i
+from ..settings import REPORT_NAMES
+from . import frames
+
+ENDS = {
+    frames.OK: i.Outcome.OK,
+    frames.MISS: i.Outcome.MISS,
+    frames.FULL: i.Outcome.FULL,
+    frames.ERROR: i.Outcome.ERROR,
+    frames.OVER: i.Outcome.NOT_SENT,
+    frames.HEALTHY: i.Outcome.OK,
+    frames.SICK: i.Outcome.ERROR,
+}
+FOUND = {"w": i.Found.COPY, "c": i.Found.BEGAN_LOAD, "j": i.Found.WAITED}
+
+
+def number(text: str | None) -> int | None:
+    return int(text) if text is not None and text.isdecimal() else None
+
+
+def read_report(text: str | None) -> i.LoadReport | None:
+    """The load report of an answer; what can't be read is as absent."""
+    values: dict[str, float] = {}
+    for pair in text.split(";") if text else []:
+        name, _, value = pair.partition(":")
+        try:
+            if name in REPORT_NAMES:
+                values[REPORT_NAMES[name]] = float(value)
+        except ValueError:
+            continue
+    return i.LoadReport(**values) if values else None
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -1,9 +1,9 @@
-"""The actor of one model host: its links, and what is out on them."""
+"""The actor of one model host: it picks or dials a link for each task, and ends each task once."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from gevent import socket
@@ -14,19 +14,9 @@
 from ..core.records import Attempt, Order, Task, TaskEnded
 from ..limits import Limits
 from ..log import Log
-from ..settings import REPORT_NAMES
 from . import frames
-
-ENDS = {
-    frames.OK: i.Outcome.OK,
-    frames.MISS: i.Outcome.MISS,
-    frames.FULL: i.Outcome.FULL,
-    frames.ERROR: i.Outcome.ERROR,
-    frames.OVER: i.Outcome.NOT_SENT,
-    frames.HEALTHY: i.Outcome.OK,
-    frames.SICK: i.Outcome.ERROR,
-}
-FOUND = {"w": i.Found.COPY, "c": i.Found.BEGAN_LOAD, "j": i.Found.WAITED}
+from .answers import ENDS, FOUND, number, read_report
+from .link import Link
 
 
 @dataclass(slots=True)
@@ -44,18 +34,6 @@
         return self.drain is i.Drain.UP or (isinstance(task, Order) and task.copies == 0)
 
 
-@dataclass(slots=True, eq=False)
-class Link:
-    """One connection, and what is open on it by frame id."""
-
-    sock: socket.socket
-    decoder: frames.Decoder
-    open: dict[int, Task] = field(default_factory=dict)
-    used: float = 0.0
-    asked: float | None = None  # since when something is owed an answer soon and nothing has come
-    part_since: float | None = None  # a frame has begun and its rest has not come; its reader alone writes it
-
-
 @dataclass(slots=True)
 class Begin:
     task: Task
@@ -95,23 +73,6 @@
     return not isinstance(task, Order) or task.copies == 0
 
 
-def number(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdecimal() else None
-
-
-def read_report(text: str | None) -> i.LoadReport | None:
-    """The load report of an answer; what can't be read is as absent."""
-    values: dict[str, float] = {}
-    for pair in text.split(";") if text else []:
-        name, _, value = pair.partition(":")
-        try:
-            if name in REPORT_NAMES:
-                values[REPORT_NAMES[name]] = float(value)
-        except ValueError:
-            continue
-    return i.LoadReport(**values) if values else None
-
-
 class HostActor(Actor):
     """Serialises all that goes to one model host. A host that is silent holds up nobody but itself."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 from harrieryoke import interface as i
 from harrieryoke.brain import Router
-from harrieryoke.net.host import read_report
+from harrieryoke.net.answers import read_report
 
 from .rig import SETTINGS, workers
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,7 +13,8 @@
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net.frames import Decoder
-from harrieryoke.net.host import HostActor, Link, Standing
+from harrieryoke.net.host import HostActor, Standing
+from harrieryoke.net.link import Link
 
 from .scenario import Scene, run
 
