Write to model hosts without waiting, and check each frame directly before its first byte

Cause: HostActor.write called link.sock.sendall, which waits up to write_ms (1 s) for a host that does not read. The first byte then left long after the check in send(), and meanwhile the actor handled no answer, give-up or drain. send() read neither Call.abandoned nor Task.start_by, and a request could begin on a link that its reader already knew to be closed while Lost lay in the mailbox.

Change: HostSocket never waits in a write; what the connection does not take stays in the link's backlog, bounded by streams_per_link, and the actor goes on once a greenlet that exists only meanwhile has seen the connection take more. HostActor.flush asks may_begin (wanted, stop_at, start_by, abandoned, standing) directly before a first byte: what has not begun is left out as NOT_SENT or removed by its give-up, what has begun is finished. write_ms without progress closes the link; what was never whole ends there as NOT_SENT. A link that does not read gets work only where no other has room. An unload is checked again too. What waited behind a failed dial is checked by may_begin. No task begins on a link whose reader has seen its end.

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -16,7 +16,7 @@
 from ..log import Log
 from . import frames
 from .answers import ENDS, FOUND, number, read_report
-from .link import Link
+from .link import HostSocket, Link, Unsent, host_socket
 
 
 @dataclass(slots=True)
@@ -61,6 +61,14 @@
     reason: str
 
 
+@dataclass(slots=True)
+class Writable:
+    """The link takes more; or it has not for too long, or has failed, and `error` says so."""
+
+    link: Link
+    error: str = ""
+
+
 @dataclass(slots=True)
 class Retire:
     """The host has left the list: it ends once nothing is out on it, or now if its address is another's."""
@@ -149,8 +157,13 @@
                 if any(map(soon, link.open.values())):
                     link.asked = now_ms()
             case Lost(link, reason):
-                if link in self.links:
-                    self.close(link, reason)
+                self.close(link, reason)
+            case Writable(link, error):
+                link.waiting = False
+                if error and link.backlog:
+                    self.close(link, error)
+                else:
+                    self.flush(link)
             case Retire(now):
                 self.retiring, self.over = True, self.over or now
 
@@ -159,79 +172,149 @@
 
     # --- towards the host ---
 
+    def may_begin(self, task: Task) -> bool:
+        """Whether the task is still to be written: asked again directly before its first byte."""
+        now = now_ms()
+        if not task.wanted or task.stop_at <= now or task.start_by <= now:
+            return False
+        if isinstance(task, Attempt) and task.call.abandoned:
+            return False
+        return self.standing.takes(task)
+
+    def may_unload(self) -> bool:
+        return self.standing.drain is i.Drain.UP and not self.standing.replaced
+
     def send(self, task: Task) -> None:
-        """Checks all over again just before the first byte: much can change while a dial takes its time."""
-        if not task.wanted or not self.standing.takes(task) or task.stop_at <= now_ms():
+        """Puts the task on a link. Much can change while a dial takes its time, or while the link takes
+        nothing: `flush` looks again."""
+        if not self.may_begin(task):
             return self.end(task, i.Outcome.NOT_SENT)
         link = self.link_for_one_more(isinstance(task, Order) and task.copies == 0)
         if link is None:
             self.fail_queued()
             return self.end(task, i.Outcome.NO_CONNECTION)
-        # guards against a request that ended, or a host that began to drain, during the dial
-        now = now_ms()
-        if not task.wanted or not self.standing.takes(task) or task.stop_at <= now:
-            return self.end(task, i.Outcome.NOT_SENT)
-        id, data = self.frame_for(task, link, now)
-        task.begun = True
-        link.open[id], self.places[task] = task, (link, id)
+        frame = self.frame_for(task, link)
+        self.places[task] = (link, frame.id)
+        self.post(link, frame)
+
+    def post(self, link: Link, frame: Unsent) -> None:
+        """Writes the frame at once, or once the host has read what lies before it."""
+        link.backlog.append(frame)
+        if not link.waiting:
+            self.flush(link)
+
+    def flush(self, link: Link) -> None:
+        """Writes what waits on the link as far as the connection takes it, without waiting."""
+        while link.backlog and not link.ended:
+            frame = link.backlog[0]
+            if not frame.begun and not self.prepare(link, frame):
+                continue
+            fresh = not frame.begun
+            try:
+                whole = link.write(frame)
+            except OSError as error:
+                return self.close(link, f"write: {error}")
+            if fresh and frame.begun and frame.task is not None:
+                self.note_begun(link, frame.id, frame.task)
+            if not whole:
+                link.waiting = True
+                spawn(self.log, f"{self.name} writer", lambda: self.wait_writable(link))
+                return
+            link.backlog.popleft()
+            link.used = now_ms()
+            if isinstance(frame.task, Attempt):
+                self.figures.of(self.classes[frame.task.call.class_index].name).tries += 1
+
+    def prepare(self, link: Link, frame: Unsent) -> bool:
+        """Directly before the first byte of a frame: what is not wanted any more is left out."""
+        task = frame.task
+        if task is None:
+            if frame.code != frames.UNLOAD or self.may_unload():
+                return True
+            link.backlog.popleft()
+            return False
+        if not self.may_begin(task):
+            link.backlog.popleft()
+            del self.places[task]
+            self.end(task, i.Outcome.NOT_SENT)
+            return False
+        frame.data = self.encode(frame, task)
+        return True
+
+    def note_begun(self, link: Link, id: int, task: Task) -> None:
+        link.open[id] = task
         if link.asked is None and soon(task):
-            link.asked = now
-        self.write(link, data, task)
+            link.asked = now_ms()
 
-    def frame_for(self, task: Task, link: Link, now: float) -> tuple[int, bytes]:
+    def wait_writable(self, link: Link) -> None:
+        """The writer's greenlet, there only while something is unsent."""
+        error = ""
+        try:
+            link.sock.wait_writable(self.limits.write_ms)
+        except OSError as failed:
+            error = f"write: {failed}"
+        self.push(Writable(link, error))
+
+    def frame_for(self, task: Task, link: Link) -> Unsent:
+        if isinstance(task, Attempt):
+            return Unsent(frames.REQUEST, int(task.call.rid, 16), task)
+        self.serial += 1
+        while self.serial in link.open:
+            self.serial += 1
+        return Unsent(frames.HOLD if isinstance(task, Order) else frames.PROBE_LOAD, self.serial, task)
+
+    def encode(self, frame: Unsent, task: Task) -> bytes:
         if isinstance(task, Attempt):
             call = task.call
             fields = {
                 "sort": self.classes[call.class_index].name,
                 "asset": call.function,
-                "patience": str(max(1, int(task.stop_at - now))),
+                "patience": str(max(1, int(task.stop_at - now_ms()))),
             }
             if call.key is not None:
                 fields["op"] = call.key
-            id = int(call.rid, 16)
-            return id, frames.encode(frames.REQUEST, id, fields, call.body)
-        self.serial += 1
-        while self.serial in link.open:
-            self.serial += 1
+            return frames.encode(frame.code, frame.id, fields, call.body)
         if isinstance(task, Order):
             held = {"asset": task.function, "pods": str(task.copies)}
-            return self.serial, frames.encode(frames.HOLD, self.serial, held)
-        return self.serial, frames.encode(frames.PROBE_LOAD, self.serial)
+            return frames.encode(frame.code, frame.id, held)
+        return frames.encode(frame.code, frame.id)
 
     def give_up(self, task: Task) -> None:
-        """A request is given up with a word; an order just is not waited for any more."""
-        if (place := self.places.pop(task, None)) is not None:
-            link, id = place
-            del link.open[id]
-            if not link.open and not self.silent(link):
-                link.asked = None  # what was given up early tells nothing of the host
-            if isinstance(task, Attempt):
-                self.write(link, frames.encode(frames.GIVE_UP, id))
+        """A request is given up with a word, an order just is not waited for any more, and what has not begun
+        is left out."""
+        if (place := self.places.pop(task, None)) is None:
+            return
+        link, id = place
+        if link.open.get(id) is not task:
+            link.backlog.remove(next(frame for frame in link.backlog if frame.task is task))
+            return
+        del link.open[id]
+        if not link.open and not self.silent(link):
+            link.asked = None  # what was given up early tells nothing of the host
+        if isinstance(task, Attempt):
+            self.post(link, Unsent(frames.GIVE_UP, id, data=frames.encode(frames.GIVE_UP, id)))
 
     def unload(self, function: str) -> None:
-        open_to_it = self.standing.drain is i.Drain.UP and not self.standing.replaced
-        if open_to_it and (link := self.link_for_one_more()):
-            self.write(link, frames.encode(frames.UNLOAD, int(function, 16)))
-
-    def write(self, link: Link, data: bytes, unwritten: Task | None = None) -> None:
-        try:
-            link.sock.sendall(data)
-            link.used = now_ms()
-        except OSError as error:
-            return self.close(link, f"write: {error}", unwritten)
-        if isinstance(unwritten, Attempt):
-            self.figures.of(self.classes[unwritten.call.class_index].name).tries += 1
+        if self.may_unload() and (link := self.link_for_one_more()):
+            id = int(function, 16)
+            self.post(link, Unsent(frames.UNLOAD, id, data=frames.encode(frames.UNLOAD, id)))
 
     # --- links ---
 
     def link_for_one_more(self, ask: bool = False) -> Link | None:
-        """The newest link with room; a further one only when all are full, or silent. An ask whether
-        the host lives goes by none that owes an answer for longer than a dial would take."""
+        """The newest link with room, rather one that takes bytes; a further one only when all are full, or
+        silent. An ask whether the host lives goes by none that owes an answer for longer than a dial would
+        take."""
+        blocked: Link | None = None
         for link in reversed(self.links):
             quiet = now_ms() - link.asked if ask and link.asked is not None else 0.0
-            free = len(link.open) < self.limits.streams_per_link
+            free = not link.ended and link.load < self.limits.streams_per_link
             if free and quiet <= self.limits.dial_ms and not self.silent(link):
-                return link
+                if not link.waiting:
+                    return link
+                blocked = blocked or link
+        if blocked is not None:
+            return blocked
         if len(self.links) >= self.limits.links_per_host:
             for link in list(filter(self.silent, self.links)):
                 self.close(link, "silent")
@@ -243,13 +326,13 @@
         """Guards against a connection that stays open and brings nothing more, while a new one would."""
         return link.asked is not None and now_ms() - link.asked > times * self.silence
 
-    def connect(self) -> socket.socket:
+    def connect(self) -> HostSocket:
         dialled = (self.standing.address, self.limits.dial_ms / 1000)
         try:
-            return socket.create_connection(*dialled)
+            return host_socket(socket.create_connection(*dialled))
         except ConnectionResetError:
-            # guards against taking a host for dead, its copies lost: a dead one refuses, it does not reset
-            return socket.create_connection(*dialled)
+            # a dead host refuses, it does not reset: one that is alive must not be taken for dead
+            return host_socket(socket.create_connection(*dialled))
 
     def dial(self) -> Link | None:
         try:
@@ -271,7 +354,7 @@
         queued = [m for m in self.box if isinstance(m, Begin)]
         for message in queued:
             self.box.remove(message)
-            fits = message.task.wanted and self.standing.takes(message.task)
+            fits = self.may_begin(message.task)
             self.end(message.task, i.Outcome.NO_CONNECTION if fits else i.Outcome.NOT_SENT)
 
     def read(self, link: Link) -> None:
@@ -301,21 +384,25 @@
             self.log("bad-frame", f"{self.name}: {error}")
         except OSError as error:
             reason = f"read: {error}"
+        link.ended = True  # nothing more is to begin here, also while the message waits in the mailbox
         self.push(Lost(link, reason))
 
-    def close(self, link: Link, reason: str, unwritten: Task | None = None) -> None:
+    def close(self, link: Link, reason: str) -> None:
         """What was out on a link that ends may have run; the host has given it up. What was never written
         whole has not run: a host acts on whole frames alone."""
         if link not in self.links:
             return
         self.links.remove(link)
         link.sock.close()
-        if link.open:
-            self.log("link-lost", f"{self.name}: {reason}; {len(link.open)} out")
-        for task in link.open.values():
-            del self.places[task]
-            self.end(task, i.Outcome.NOT_SENT if task is unwritten else i.Outcome.RESET)
+        unwritten = [frame.task for frame in link.backlog if frame.task in self.places]
+        whole = [task for task in link.open.values() if task not in unwritten]
         link.open.clear()
+        link.backlog.clear()
+        if whole or unwritten:
+            self.log("link-lost", f"{self.name}: {reason}; {len(whole)} out, {len(unwritten)} not written")
+        for task in whole + unwritten:
+            del self.places[task]
+            self.end(task, i.Outcome.RESET if task in whole else i.Outcome.NOT_SENT)
 
     def tidy(self) -> None:
         """Closes links that lie idle a little before the host would: no request crosses such a close."""
@@ -328,7 +415,7 @@
         for link in [k for k in self.links if self.silent(k) and (not k.open or self.silent(k, 3))]:
             self.close(link, "silent")
         late = now - 0.8 * self.limits.link_idle_ms
-        for link in [k for k in self.links if not k.open and (k.used < late or self.retiring)]:
+        for link in [k for k in self.links if not k.load and (k.used < late or self.retiring)]:
             self.close(link, "idle")
 
     # --- from the host ---
--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -1,7 +1,9 @@
-"""One connection to a model host, and what is out on it."""
+"""One connection to a model host: its socket, what is out on it, and what is not yet written to it."""
 
 from __future__ import annotations
 
+import errno
+from collections import deque
 from dataclasses import dataclass, field
 
 from gevent import socket
@@ -10,9 +12,48 @@
 from . import frames
 
 
+class HostSocket(socket.socket):  # type: ignore[misc]  # gevent has no types
+    """A connected socket of which reads wait and writes never do."""
+
+    def sendall(self, data: bytes, flags: int = 0) -> None:
+        """Writes what the connection takes at once. Where that is not all of it, BlockingIOError says in
+        `characters_written` how much it was."""
+        try:
+            written = self.send(data, flags, 0.0)
+        except BlockingIOError:
+            written = 0
+        if written < len(data):
+            raise BlockingIOError(errno.EAGAIN, "the host does not read", written)
+
+    def wait_writable(self, timeout_ms: float) -> None:
+        """Until the connection takes more. Raises TimeoutError, and OSError once the socket is closed."""
+        watcher = self._write_event  # gone once the socket is closed
+        if watcher is None:
+            raise OSError(errno.EBADF, "the link is closed")
+        socket.wait(watcher, timeout_ms / 1000, TimeoutError("the host does not read"))
+
+
+def host_socket(connected: socket.socket) -> HostSocket:
+    """The same connection as a HostSocket; the given socket is closed."""
+    family, kind, protocol = connected.family, connected.type, connected.proto
+    return HostSocket(family, kind, protocol, fileno=connected.detach())
+
+
+@dataclass(slots=True, eq=False)
+class Unsent:
+    """A frame that is not yet written whole. A task's frame is encoded when it begins: its fields tell how
+    much time is left."""
+
+    code: int
+    id: int
+    task: Task | None = None
+    data: bytes = b""  # what is still to be written
+    begun: bool = False  # its first byte is written: it has to be finished, or the link is spoilt
+
+
 @dataclass(slots=True, eq=False)
 class Link:
-    """One connection, and what is open on it by frame id."""
+    """One connection, and the tasks that have begun on it by frame id."""
 
     sock: socket.socket
     decoder: frames.Decoder
@@ -20,3 +61,28 @@
     used: float = 0.0
     asked: float | None = None  # since when something is owed an answer soon and nothing has come
     part_since: float | None = None  # a frame has begun and its rest has not come; its reader alone writes it
+    backlog: deque[Unsent] = field(default_factory=deque)
+    waiting: bool = False  # a greenlet waits until the connection takes more
+    ended: bool = False  # the host has closed it, or it failed; its reader alone writes it
+
+    @property
+    def load(self) -> int:
+        """Tasks that are out on it, and frames that are not yet written."""
+        return len(self.open) + len(self.backlog)
+
+    def write(self, frame: Unsent) -> bool:
+        """Writes of the frame what the connection takes at once, and says whether it is whole now. Raises
+        OSError."""
+        task = frame.task
+        if task is not None:
+            task.begun = True
+        try:
+            self.sock.sendall(frame.data)
+        except BlockingIOError as blocked:
+            frame.begun = frame.begun or blocked.characters_written > 0
+            frame.data = frame.data[blocked.characters_written :]
+            if task is not None:
+                task.begun = frame.begun
+            return False
+        frame.begun = True
+        return True
--- /dev/null
+++ b/tests/test_host_crossings.py
@@ -0,0 +1,328 @@
+"""Events that cross on the links to a model host: a host's actor driven step by step against a stand-in on
+loopback, so that each crossing is forced."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from harrieryoke import interface as i
+from harrieryoke.core.figures import Figures
+from harrieryoke.core.records import Attempt, Call, Order, Task, TaskEnded
+from harrieryoke.limits import Limits
+from harrieryoke.log import Log
+from harrieryoke.net import frames
+from harrieryoke.net.host import HostActor, Lost, Standing, Writable
+from harrieryoke.net.link import HostSocket, Link, Unsent, host_socket
+
+PATIENCE = 20.0  # seconds for what should come at once
+KINDS = i.Settings((i.RequestClass("weight-read", 1000, 4000),))
+LARGE = b"x" * 16384  # more than the buffers of a `narrow` link
+NOT_SENT, NO_CONNECTION, RESET, OK = (
+    i.Outcome.NOT_SENT,
+    i.Outcome.NO_CONNECTION,
+    i.Outcome.RESET,
+    i.Outcome.OK,
+)
+
+
+class Peer:
+    """The host's end of one link: keeps what it reads, and reads only while `reading` is set."""
+
+    def __init__(self, sock: socket.socket, reading: Event) -> None:
+        self.sock, self.reading, self.heard = sock, reading, list[tuple[int, int]]()
+        self.decoder = frames.Decoder(1 << 20, frames.TO_HOST)
+        gevent.spawn(self.read)
+
+    def read(self) -> None:
+        try:
+            while self.reading.wait() and (data := self.sock.recv(65536)):
+                self.heard += [(f.code, f.id) for f in self.decoder.feed(data)]
+        except OSError:
+            pass
+
+    def answer(self, code: int, task: Attempt) -> None:
+        self.sock.sendall(frames.encode(code, int(task.call.rid, 16), mark=frames.FROM_HOST))
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Stage(HostActor):
+    """The real actor, with a stand-in on loopback; the test takes its messages from the mailbox by `step`.
+    `dialling` is called in each dial. On a `narrow` link a large request can't be written at once."""
+
+    def __init__(self, limits: Limits | None = None, narrow: bool = False) -> None:
+        self.listening = socket.socket()
+        self.narrow, self.reading = narrow, Event()
+        self.reading.set()
+        if narrow:
+            self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2304)
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen(8)
+        self.ends: list[tuple[Task, i.Outcome]] = []
+        self.peers: list[Peer] = []
+        self.dialling: Callable[[], object] = lambda: None
+        where = Standing(self.listening.getsockname())
+        limits = limits or Limits(write_ms=20000.0, silent_ms=20000.0)
+        super().__init__("h", where, KINDS, limits, Log(), self.note, Figures())
+
+    def note(self, ended: TaskEnded) -> None:
+        self.ends.append((ended.task, ended.outcome))
+
+    def connect(self) -> HostSocket:
+        self.dialling()
+        if not self.narrow:
+            sock = super().connect()
+        else:
+            plain = socket.socket()
+            plain.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
+            plain.connect(self.standing.address)
+            sock = host_socket(plain)
+        self.peers.append(Peer(self.listening.accept()[0], self.reading))
+        return sock
+
+    def until(self, condition: Callable[[], object], step: bool = True) -> None:
+        """Goes on only once the condition is seen to hold; meanwhile the actor takes its messages."""
+        late = time.monotonic() + PATIENCE
+        while not condition():
+            assert time.monotonic() < late, (self.ends, [p.heard for p in self.peers])
+            if step:
+                self.work()
+            gevent.sleep(0.001)
+
+    def blocked(self, body: bytes = LARGE) -> tuple[Attempt, Link]:
+        """A request of which a part is written, on a link whose host does not read."""
+        self.reading.clear()
+        large = attempt(0xA, body=body)
+        self.send(large)
+        (link,) = self.links
+        assert link.waiting and link.backlog[0].begun and large.begun
+        return large, link
+
+    def tries(self) -> int:
+        return self.figures.of("weight-read").tries
+
+
+@pytest.fixture
+def stages() -> Iterator[Callable[..., Stage]]:
+    made: list[Stage] = []
+
+    def make(*args: Any, **named: Any) -> Stage:
+        made.append(Stage(*args, **named))
+        return made[-1]
+
+    yield make
+    for stage in made:
+        stage.finish()
+        stage.listening.close()
+        for peer in stage.peers:
+            peer.sock.close()
+
+
+Make = Callable[..., Stage]
+
+
+def attempt(id: int, body: bytes = b"", number: int = 0) -> Attempt:
+    return Attempt(1, 1e15, 0.0, call=Call(f"{id:016x}", 0, "f", 1e15, body), number=number)
+
+
+def request(id: int) -> tuple[int, int]:
+    return frames.REQUEST, id
+
+
+# --- between the check and the first byte ---
+
+
+def abandon(stage: Stage, task: Attempt) -> None:
+    task.call.abandoned = True
+
+
+def unwant(stage: Stage, task: Attempt) -> None:
+    task.wanted = False
+
+
+def drain(stage: Stage, task: Attempt) -> None:
+    stage.standing.drain = i.Drain.DRAINING
+
+
+def replaced(stage: Stage, task: Attempt) -> None:
+    stage.standing.replaced = True
+
+
+def time_over(stage: Stage, task: Attempt) -> None:
+    task.stop_at = 1.0
+
+
+def window_over(stage: Stage, task: Attempt) -> None:
+    task.start_by = 1.0
+
+
+NEWS = [abandon, unwant, drain, replaced, time_over, window_over]
+
+
+@pytest.mark.parametrize("news", NEWS)
+def test_what_is_no_longer_wanted_when_its_dial_comes_up_does_not_begin(
+    stages: Make, news: Callable[[Stage, Attempt], None]
+) -> None:
+    stage, task, marker = stages(), attempt(1), Order(1, 1e15, 0.0, function="f", copies=0)
+    stage.dialling = lambda: news(stage, task)
+    stage.send(task)
+    assert stage.ends == [(task, NOT_SENT)] and not task.begun and not stage.places
+    stage.standing.drain, stage.standing.replaced = i.Drain.UP, False
+    stage.send(marker)
+    stage.until(lambda: stage.peers[0].heard)
+    assert stage.peers[0].heard == [(frames.HOLD, 1)] and stage.tries() == 0
+
+
+@pytest.mark.parametrize("news", NEWS)
+def test_what_is_no_longer_wanted_when_the_host_reads_on_does_not_begin(
+    stages: Make, news: Callable[[Stage, Attempt], None]
+) -> None:
+    stage, task, later = stages(narrow=True), attempt(1), attempt(2)
+    stage.blocked()
+    stage.send(task)
+    assert not task.begun
+    news(stage, task)
+    stage.reading.set()
+    stage.until(lambda: stage.ends)
+    assert stage.ends == [(task, NOT_SENT)] and not task.begun
+    stage.standing.drain, stage.standing.replaced = i.Drain.UP, False
+    stage.send(later)
+    stage.until(lambda: len(stage.peers[0].heard) == 2)
+    assert stage.peers[0].heard == [request(0xA), request(2)] and stage.tries() == 2
+
+
+# --- a host that does not read ---
+
+
+def test_a_host_that_does_not_read_keeps_the_actor_from_nothing(stages: Make) -> None:
+    stage, early, given_up = stages(narrow=True), attempt(1), attempt(2)
+    stage.send(early)
+    stage.until(lambda: stage.peers[0].heard)
+    large, link = stage.blocked()
+    stage.send(given_up)
+    stage.give_up(given_up)
+    stage.peers[0].answer(frames.OK, early)
+    stage.until(lambda: stage.ends)
+    assert stage.ends == [(early, OK)] and link.waiting and not given_up.begun
+    stage.give_up(large)
+    stage.reading.set()
+    stage.until(lambda: len(stage.peers[0].heard) == 3)
+    assert stage.peers[0].heard == [request(1), request(0xA), (frames.GIVE_UP, 0xA)]
+    assert stage.tries() == 2 and not stage.places and not link.backlog and not link.waiting
+
+
+def test_a_link_that_takes_nothing_for_its_time_ends_and_only_what_was_whole_may_have_run(
+    stages: Make,
+) -> None:
+    stage, whole, queued = (
+        stages(Limits(write_ms=50.0, vanished_ms=60000.0), narrow=True),
+        attempt(1),
+        attempt(2),
+    )
+    stage.send(whole)
+    stage.until(lambda: stage.peers[0].heard)
+    large, _ = stage.blocked()
+    stage.send(queued)
+    stage.until(lambda: len(stage.ends) == 3)
+    assert dict(stage.ends) == {whole: RESET, large: NOT_SENT, queued: NOT_SENT}
+    assert not stage.links and stage.tries() == 1
+
+
+def test_a_link_closed_while_its_writer_waits_ends_each_task_once(stages: Make) -> None:
+    stage, queued = stages(narrow=True), attempt(2)
+    large, link = stage.blocked()
+    stage.send(queued)
+    stage.close(link, "the test")
+    stage.until(lambda: not link.waiting)
+    assert sorted(stage.ends, key=lambda e: e[0] is large) == [(queued, NOT_SENT), (large, NOT_SENT)]
+
+
+def test_an_unload_that_has_not_begun_does_not_go_to_a_host_that_drains(stages: Make) -> None:
+    stage, later = stages(narrow=True), attempt(2)
+    stage.blocked()
+    stage.unload("f")
+    stage.standing.drain = i.Drain.DRAINING
+    stage.reading.set()
+    stage.until(lambda: stage.peers[0].heard and not stage.links[0].waiting)
+    stage.standing.drain = i.Drain.UP
+    stage.send(later)
+    stage.until(lambda: len(stage.peers[0].heard) == 2)
+    assert stage.peers[0].heard == [request(0xA), request(2)]
+
+
+def test_what_the_connection_takes_nothing_of_has_not_begun() -> None:
+    class Unready:
+        def sendall(self, data: bytes) -> None:
+            raise BlockingIOError(11, "full", 0)
+
+    task = attempt(1)
+    frame = Unsent(frames.REQUEST, 1, task, b"data")
+    assert not Link(Unready(), frames.Decoder(0)).write(frame) and frame.data == b"data"
+    assert not task.begun and not frame.begun
+
+
+# --- links that end ---
+
+
+def test_a_reset_ends_each_request_on_the_link_once(stages: Make) -> None:
+    stage, tasks = stages(), [attempt(n) for n in (1, 2, 3)]
+    for task in tasks:
+        stage.send(task)
+    stage.until(lambda: len(stage.peers[0].heard) == 3)
+    stage.peers[0].reset()
+    stage.until(lambda: len(stage.ends) == 3)
+    assert stage.ends == [(task, RESET) for task in tasks] and not stage.links and not stage.places
+
+
+def test_nothing_begins_on_a_link_that_the_host_has_closed_while_the_news_lies_in_the_mailbox(
+    stages: Make,
+) -> None:
+    stage, old, new = stages(), attempt(1), attempt(2)
+    stage.send(old)
+    stage.until(lambda: stage.peers[0].heard)
+    stage.peers[0].sock.close()
+    stage.until(lambda: any(isinstance(m, Lost) for m in stage.box), step=False)
+    stage.send(new)
+    stage.until(lambda: stage.peers[1].heard)
+    assert stage.peers[1].heard == [request(2)] and stage.ends == [(old, RESET)]
+
+
+def test_what_waits_on_a_link_that_the_host_closes_never_begins(stages: Make) -> None:
+    stage, queued = stages(narrow=True), attempt(2)
+    large, link = stage.blocked(LARGE[:9000])
+    stage.send(queued)
+    stage.reading.set()
+    stage.until(lambda: any(isinstance(m, Writable) for m in stage.box), step=False)
+    begun = link.backlog[0]
+    written = len(stage.encode(begun, large)) - len(begun.data)
+    stage.until(lambda: len(stage.peers[0].decoder.rest) == written, step=False)  # there is room for both
+    stage.peers[0].sock.shutdown(socket.SHUT_WR)  # it would still read
+    stage.until(lambda: link.ended, step=False)
+    stage.until(lambda: len(stage.ends) == 2)
+    assert dict(stage.ends) == {large: NOT_SENT, queued: NOT_SENT} and not queued.begun
+
+
+def test_a_dial_that_never_comes_up_ends_all_that_waited_for_it_once(stages: Make) -> None:
+    stage, tasks = stages(Limits(dial_ms=100.0)), [attempt(n) for n in (1, 2, 3)]
+    stage.listening.listen(0)
+    where, held = stage.listening.getsockname(), list[socket.socket]()
+    with pytest.raises(TimeoutError):  # until the host's queue is full: it answers no dial any more
+        while len(held) < 10:
+            held.append(socket.create_connection(where, 0.2))
+    for task in tasks[1:]:
+        stage.begin(task)
+    tasks[2].call.abandoned = True
+    stage.send(tasks[0])
+    assert dict(stage.ends) == dict(zip(tasks, (NO_CONNECTION, NO_CONNECTION, NOT_SENT), strict=True))
+    assert len(stage.ends) == 3 and not stage.box and not stage.places
+    for sock in held:
+        sock.close()
