Split discovery into the list's model, the bus's follower and the list's actor

net/hostlist.py held three jobs: the wire's types and their decoding, the watch on the event bus, and the list's actor. They are now net/hostlist_model.py (no I/O), net/bus_follower.py and net/hostlist.py, which still re-exports the public names that tests import. No behaviour changes.

--- a/harrieryoke/checks.py
+++ b/harrieryoke/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .net.hostlist import address
+from .net.hostlist_model import address
 
 
 class ConfigError(ValueError):
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -13,7 +13,7 @@
 from . import interface as i
 from .checks import ConfigError, read_address
 from .limits import Limits
-from .net.hostlist import Known
+from .net.hostlist_model import Known
 from .parts import Operator
 from .settings import check_figure, read_list, read_settings
 
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -20,7 +20,8 @@
 from .core.module import ModuleActor
 from .core.records import Counted, Retuned, Stopping
 from .log import Log
-from .net.hostlist import BusFollower, HostListActor
+from .net.bus_follower import BusFollower
+from .net.hostlist import HostListActor
 from .net.platform import PlatformFront, StopListening
 from .parts import CouncilPart, Parts
 from .retune import changes, lost, merge
