Check each entry of an event by itself; a spoilt one leaves its host as it was

Cause (net/hostlist.py): `entry` looked at address and state alone and let through names that idna can't encode, weights that are no number, starts and cells out of any range; `apply` took hosts of spoilt entries as named but did not list them, so that the module held them for gone; entries were taken one after the other, so that [n at A active, h1 at A leaving] let the host that leaves drive out its successor, and [h1 at A leaving, n at A] told the module that h1, whose actor had ended, drains; `begin` gave a spoilt later event the word over a good earlier one, and brought back a replaced host once its successor had left.

Change: an event is read into a ListUpdate: one checked entry for each host (the last that can be read), and a BadServer with host, field and reason for each other. Hosts of spoilt entries stay, also in a whole list. A whole list without a readable entry, or with one that names no host, takes none for gone; an empty one empties the list, as the protocol has it. Within an event the active host has the address, whatever the order. `begin` folds the known events by the same rules. One `bad-event` line for each event names the offset, the first entry and how many more. An unknown zone or kind is named too, but the host is heard: the settings may bring the name only with the next SIGHUP, and a host that drains there must get nothing new.

--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -3,19 +3,35 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gevent.event import AsyncResult
 
 from .. import interface as i
 from ..core.actor import Actor, spawn
 from ..core.figures import Figures
-from ..core.records import HostName, Listed, TaskEnded
+from ..core.records import HostName, HostPort, Listed, TaskEnded
 from ..limits import Limits
 from ..log import Log
 from .bus_follower import BusFollower
 from .host import HostActor, Retire, Standing
-from .hostlist_model import DRAINS, BusEvent, BusSaid, Known, Server, Topology, address, worker_number
+from .hostlist_model import (
+    DRAINS,
+    BadServer,
+    BusEvent,
+    BusSaid,
+    Known,
+    ListReplaced,
+    ListUpdate,
+    Server,
+    Snapshot,
+    Topology,
+    address,
+    in_order,
+    read_update,
+    unknown_names,
+    worker_number,
+)
 
 # the discovery's public names in one place
 __all__ = [
@@ -43,6 +59,30 @@
     known: bool = False  # another process has listed it
 
 
+@dataclass(slots=True)
+class News:
+    """What the module is to hear of one event: the last word on each host, by the module's number."""
+
+    entries: dict[int, i.WorkerEntry] = field(default_factory=dict)
+    ports: dict[int, HostPort] = field(default_factory=dict)
+    names: dict[int, HostName] = field(default_factory=dict)
+
+    def say(self, entry: i.WorkerEntry, server: Server, actor: HostActor | None) -> None:
+        """A host as listed; no actor where it has gone."""
+        self.gone(entry.worker)
+        self.entries[entry.worker] = entry
+        self.names[entry.worker] = HostName(server.id, server.zone, server.kind, server.state)
+        if actor is not None:
+            self.ports[entry.worker] = actor
+
+    def gone(self, worker: int) -> None:
+        """A host has been replaced; the bus may say so later, or never."""
+        self.ports.pop(worker, None)
+        self.names.pop(worker, None)
+        self.entries.pop(worker, None)
+        self.entries[worker] = i.WorkerEntry(worker, drain=i.Drain.GONE)
+
+
 class HostListActor(Actor):
     """Keeps the list, opens an actor for each host, and tells the module what changed. A host that an
     operator left out drains, whatever the list says of it and however often, until it is put back."""
@@ -64,31 +104,58 @@
         self.servers: dict[str, Server] = {}  # the list's last word on each, the latest last
         self.banned: set[str] = set()
         self.keep: Callable[[str, bool], object] = lambda id, on: None  # so that it outlives the process
-        self.replaced: list[i.WorkerEntry] = []  # hosts whose address has passed to another in this event
 
     def begin(self, known: Known, banned: Iterable[str] = ()) -> None:
         """The list as it was at the start, and who is left out, listed yet or not; before the actor runs."""
         self.banned = set(banned)
-        last: dict[str, Server] = {}
+        snapshot = Snapshot()
         for event in known.batch:
-            if event.topology is not None:
-                for server in event.topology.servers:
+            if (update := read_update(BusSaid(event))) is not None:
+                self.report_bad(update)
+                for server in update.servers.values():
                     self.remember(server)
-                last = ({} if event.topology.full else last) | {s.id: s for s in event.topology.servers}
-        self.apply(list(last.values()), i.ListScope.REMEMBERED)
+                snapshot.take(update)
+        self.apply(list(snapshot.servers.values()), i.ListScope.REMEMBERED)
 
     def bans(self) -> list[str]:
         """The ids that operators left out."""
         return sorted(self.banned)
 
-    def receive(self, message: BusSaid | Ban) -> None:
+    def receive(self, message: BusSaid | ListReplaced | Ban) -> None:
+        """One message of the mailbox."""
         match message:
-            case BusSaid(BusEvent(topology=Topology() as topology)):
-                scope = i.ListScope.WHOLE if topology.full else i.ListScope.CHANGES
-                self.apply(topology.servers, scope)
+            case BusSaid():
+                if (update := read_update(message)) is not None:
+                    self.take(update)
+            case ListReplaced(update):
+                self.take(update)
             case Ban(id, on, told, known):
                 told.set(self.ban(id, on, known))
 
+    def take(self, update: ListUpdate) -> None:
+        """An event. Hosts of spoilt entries keep their former state."""
+        self.report_bad(update)
+        servers = list(update.servers.values())
+        if not update.whole:
+            return self.apply(servers, i.ListScope.CHANGES)
+        kept = [self.servers[id] for id in update.kept() if id in self.hosts]
+        self.apply(kept + servers, i.ListScope.WHOLE)
+
+    def report_bad(self, update: ListUpdate) -> None:
+        """One line of the log for all that is spoilt in an event."""
+        if update.bad:
+            self.log_bad(update.offset, list(update.bad), "former state kept; correct it at the bus")
+        unknown = [e for s in update.servers.values() for e in unknown_names(s, self.settings)]
+        if unknown:
+            self.log_bad(
+                update.offset, unknown, "name it in the settings and send SIGHUP, or correct the bus"
+            )
+
+    def log_bad(self, offset: int, errors: list[BadServer], advice: str) -> None:
+        """The first of the errors, and how many more there are."""
+        more = f" (and {len(errors) - 1} more)" if len(errors) > 1 else ""
+        self.log("bad-event", f"event {offset}: {errors[0]}{more}; {advice}")
+
     def ban(self, id: str, on: bool, known: bool) -> bool:
         """The host's actor and the module have heard when this returns. False for an id never listed."""
         if not known and id not in self.servers and id not in self.banned:
@@ -106,51 +173,45 @@
         self.servers.pop(server.id, None)
         self.servers[server.id] = server
         if len(self.servers) > self.limits.ids_remembered:
-            # guards the memory against hosts that come under ever new ids; bans are an operator's, and few
+            # hosts may come under ever new ids, and memory is bounded; bans are an operator's, and few
             needed = self.hosts.keys() | self.banned | {server.id}
             if (spare := next((id for id in self.servers if id not in needed), None)) is not None:
                 del self.servers[spare]
 
     def retune(self, settings: i.Settings) -> None:
-        """The service alone calls it, before any call of a new class is made. Guards against a host that gets
-        such a call and does not know its name: a mailbox may be full, or behind."""
+        """The service alone calls it, before any call of a new class is made. Not by a message: a mailbox
+        may be full or behind, and a host would get a call of a class that it can't name."""
         self.settings = settings
         for _, actor in self.hosts.values():
             actor.retune(settings)
 
     def apply(self, servers: list[Server], scope: i.ListScope) -> None:
-        entries, ports, names = [], {}, {}
+        """Checked entries, one for each host: the hosts' actors and then the module hear of them."""
         how = "changed" if scope is i.ListScope.CHANGES else "in all"
         self.log("list", f"{len(servers)} model hosts {how}")
         if scope is i.ListScope.WHOLE:
             named = {s.id for s in servers}
             for id in [id for id in self.hosts if id not in named]:
                 self.strike(id)
-        for server in servers:
-            entry = self.entry(server)
-            if entry is None:
-                continue
+        news = News()
+        for server in in_order(servers):
             self.remember(server)
-            entries.append(entry)
-            names[entry.worker] = HostName(server.id, server.zone, server.kind, server.state)
+            entry = self.entry(server)
             if entry.drain is i.Drain.GONE:
                 self.strike(server.id)
+                actor = None
             else:
-                ports[entry.worker] = self.host(server, entry.drain)
+                self.replace(server, news)
+                actor = self.host(server, entry.drain)
+            news.say(entry, server, actor)
         self.figures.pool_size = len(self.hosts)
         self.figures.banned = len(self.banned & self.hosts.keys())
-        # guards against the module going on with a host whose end the bus tells only later
-        entries, self.replaced = self.replaced + entries, []
-        self.tell_module(Listed(i.WorkersListed(scope, tuple(entries)), ports, names))
-
-    def entry(self, server: Server) -> i.WorkerEntry | None:
-        """One host as the module sees it; one that can't be read is left out, and the log says so."""
-        try:
-            address(server.addr)
-            drain = DRAINS[server.state]
-        except (ValueError, KeyError) as error:
-            self.log("bad-event", f"model host {server.id!r}: {error}")
-            return None
+        event = i.WorkersListed(scope, tuple(news.entries.values()))
+        self.tell_module(Listed(event, news.ports, news.names))
+
+    def entry(self, server: Server) -> i.WorkerEntry:
+        """One host as the module sees it."""
+        drain = DRAINS[server.state]
         if server.id in self.banned and drain is i.Drain.UP:
             drain = i.Drain.DRAINING
         zones, kinds = self.settings.zones, self.settings.kinds
@@ -160,14 +221,18 @@
             worker_number(server.id), zone, kind, server.cell, drain, server.weight, server.started_ms or None
         )
 
-    def host(self, server: Server, drain: i.Drain) -> HostActor:
+    def replace(self, server: Server, news: News) -> None:
+        """Whoever had the server's address so far has gone: the address speaks for another host now."""
         where = address(server.addr)
         for id, (standing, _) in list(self.hosts.items()):
             if standing.address == where and id != server.id:
-                # guards against sending to a host that has gone: its address speaks for another now
                 standing.replaced = True
                 self.strike(id, now=True)
-                self.replaced.append(i.WorkerEntry(worker_number(id), drain=i.Drain.GONE))
+                news.gone(worker_number(id))
+
+    def host(self, server: Server, drain: i.Drain) -> HostActor:
+        """The actor of a listed host; a new one where it has another address."""
+        where = address(server.addr)
         if server.id in self.hosts:
             standing, actor = self.hosts[server.id]
             if standing.address == where and not actor.over:
@@ -187,5 +252,5 @@
             standing, actor = self.hosts.pop(id)
             standing.drain = i.Drain.GONE
             if not actor.tell(Retire(now)):
-                # guards against waiting here for a host whose mailbox is full: the others need their news
+                # no waiting here for a host whose mailbox is full: the others need their news
                 spawn(self.log, f"retire {id}", lambda: actor.push(Retire(now)))
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Annotated
 
 import msgspec
 
 from .. import interface as i
 
 DRAINS = {"active": i.Drain.UP, "leaving": i.Drain.DRAINING, "left": i.Drain.GONE}
+TAKEN_AS = ("leaving", "active", "left")  # the order of an event's entries, see `in_order`
+MOST_NUMBER = 2**53  # all JSON readers agree on whole numbers up to here
+ID_MOST = 256  # characters
+HOST_MOST = 253  # characters of a name in DNS
+SHOWN_MOST = 80  # characters of a spoilt value in an error
+
+Offset = Annotated[int, msgspec.Meta(ge=0, le=MOST_NUMBER)]
 
 
 class Server(msgspec.Struct):
@@ -26,28 +36,107 @@
 
 
 class Topology(msgspec.Struct):
+    """The whole list, or what changed in it."""
+
     servers: list[Server]
     version: int = 0
     full: bool = False
 
 
 class BusEvent(msgspec.Struct):
-    offset: int
+    """One numbered event."""
+
+    offset: Offset
     topology: Topology | None = None
 
 
 class Known(msgspec.Struct):
     """The events up to the start."""
 
-    offset: int = 0
+    offset: Offset = 0
     batch: list[BusEvent] = []
 
 
+class WireTopology(msgspec.Struct):
+    """A topology whose entries are read one by one, so that a spoilt one does not spoil the others."""
+
+    servers: list[msgspec.Raw]
+    version: int = 0
+    full: bool = False
+
+
+class WireEvent(msgspec.Struct):
+    """A numbered event as it comes over the wire."""
+
+    offset: Offset
+    topology: WireTopology | None = None
+
+
+class Named(msgspec.Struct):
+    """As much of a spoilt entry as says whom it means."""
+
+    id: str
+
+
+WIRE_LINE: msgspec.json.Decoder[WireEvent | int] = msgspec.json.Decoder(WireEvent | Offset)
+WIRE_SERVER: msgspec.json.Decoder[Server] = msgspec.json.Decoder(Server)
+WIRE_NAMED: msgspec.json.Decoder[Named] = msgspec.json.Decoder(Named)
+
+
+@dataclass(frozen=True, slots=True)
+class BadServer(ValueError):
+    """An entry of an event that can't be used. `host` is empty where the entry does not say whom it means."""
+
+    host: str
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        host, reason = self.host[:SHOWN_MOST], self.reason[:SHOWN_MOST]
+        return f"model host {host!r}: {self.field}: {reason}"
+
+
+@dataclass(frozen=True, slots=True)
+class BusSaid:
+    """An event for the list's actor, and the entries of it that have the wrong types."""
+
+    event: BusEvent
+    bad: tuple[BadServer, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    """What an event comes to: one entry for each host, all of them checked. Hosts of `bad` entries keep
+    their former state."""
+
+    offset: int
+    whole: bool
+    servers: dict[str, Server]
+    bad: tuple[BadServer, ...] = ()
+
+    def kept(self) -> set[str]:
+        """Hosts that are named by spoilt entries alone."""
+        return {error.host for error in self.bad} - self.servers.keys()
+
+
+@dataclass(frozen=True, slots=True)
+class ListReplaced:
+    """The net result of all events of a bus that numbers anew."""
+
+    update: ListUpdate
+
+
 def address(text: str) -> tuple[str, int]:
-    """`host:port`."""
+    """`host:port`. Raises ValueError, also for a host that no resolver takes."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"not an address: {text!r}")
+    if not host or not (port.isascii() and port.isdecimal()) or len(port) > 5 or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text[:SHOWN_MOST]!r}")
+    if len(host) > HOST_MOST or not host.isprintable() or " " in host:
+        raise ValueError(f"not a host's name: {host[:SHOWN_MOST]!r}")
+    try:
+        host.encode("idna")
+    except UnicodeError as error:
+        raise ValueError(f"not a host's name: {host[:SHOWN_MOST]!r}: {error}") from None
     return host, int(port)
 
 
@@ -56,6 +145,124 @@
     return int.from_bytes(blake2b(id.encode(), digest_size=6).digest())
 
 
+def check_server(server: Server) -> None:
+    """Raises BadServer for the first field that can't be used."""
+    if not 0 < len(server.id) <= ID_MOST:
+        raise BadServer("", "id", f"1 to {ID_MOST} characters are wanted, not {len(server.id)}")
+    if server.state not in DRAINS:
+        raise BadServer(server.id, "state", f"{server.state[:SHOWN_MOST]!r} is none of {', '.join(DRAINS)}")
+    try:
+        address(server.addr)
+    except ValueError as error:
+        raise BadServer(server.id, "addr", str(error)) from None
+    if not 0 <= server.cell <= MOST_NUMBER:
+        raise BadServer(server.id, "cell", f"not from 0 to {MOST_NUMBER}")
+    if not (math.isfinite(server.weight) and server.weight >= 0):
+        raise BadServer(server.id, "weight", f"{server.weight} is not a finite number from 0 on")
+    if not 0 <= server.started_ms <= MOST_NUMBER:
+        raise BadServer(server.id, "started_ms", f"{server.started_ms} is not from 0 to {MOST_NUMBER}")
+
+
+def unknown_names(server: Server, settings: i.Settings) -> list[BadServer]:
+    """Zone and kind where the settings have no such name. The host is used all the same: the bus may list a
+    new zone before SIGHUP brings its name, and a host that drains there has to be heard."""
+    asked = (("zone", server.zone, settings.zones), ("kind", server.kind, settings.kinds))
+    return [
+        BadServer(server.id, field, f"{name[:SHOWN_MOST]!r} is not in the settings; the first one is assumed")
+        for field, name, names in asked
+        if name and name not in names
+    ]
+
+
+def read_server(raw: msgspec.Raw) -> Server:
+    """One entry of an event. Raises BadServer."""
+    try:
+        return WIRE_SERVER.decode(raw)
+    except (ValueError, RecursionError) as error:
+        problem = str(error)
+    try:
+        host = WIRE_NAMED.decode(raw).id
+    except (ValueError, RecursionError):
+        host = ""
+    raise BadServer(host if len(host) <= ID_MOST else "", "entry", problem)
+
+
+def decode_line(line: bytes) -> BusSaid | int:
+    """A line of the bus: an event, or the number of the last one. Raises ValueError."""
+    try:
+        said = WIRE_LINE.decode(line)
+    except RecursionError as error:
+        raise ValueError(str(error)) from None
+    if isinstance(said, int):
+        return said
+    if said.topology is None:
+        return BusSaid(BusEvent(said.offset))
+    servers, bad = list[Server](), list[BadServer]()
+    for raw in said.topology.servers:
+        try:
+            servers.append(read_server(raw))
+        except BadServer as error:
+            bad.append(error)
+    topology = Topology(servers, said.topology.version, said.topology.full)
+    return BusSaid(BusEvent(said.offset, topology), tuple(bad))
+
+
+def read_update(said: BusSaid) -> ListUpdate | None:
+    """An event checked, or None where it tells nothing of the list. The last word on a host counts, and of
+    two hosts at one address the last that is active (`in_order`)."""
+    topology = said.event.topology
+    if topology is None:
+        return None
+    servers, bad = dict[str, Server](), list(said.bad)
+    for server in topology.servers:
+        try:
+            check_server(server)
+        except BadServer as error:
+            bad.append(error)
+            continue
+        servers.pop(server.id, None)
+        servers[server.id] = server
+    # an entry that does not say whom it means may mean any host, and a list without a readable entry may be
+    # spoilt as a whole: none is taken for gone
+    whole = topology.full and all(error.host for error in bad) and bool(servers or not bad)
+    return ListUpdate(said.event.offset, whole, servers, tuple(bad))
+
+
+def in_order(servers: Iterable[Server]) -> list[Server]:
+    """The order to take an event's entries in. Their order within the event says nothing of time: where two
+    hosts have one address, the one that is active has it now, and the other was replaced."""
+    return sorted(servers, key=lambda server: TAKEN_AS.index(server.state))
+
+
 @dataclass(slots=True)
-class BusSaid:
-    event: BusEvent
+class Snapshot:
+    """The net result of events in their order."""
+
+    servers: dict[str, Server] = field(default_factory=dict)
+    whole: bool = False  # one of the events was
+    bad: dict[str, BadServer] = field(default_factory=dict)
+
+    def take(self, update: ListUpdate) -> None:
+        """The next event."""
+        if update.whole:
+            kept = update.kept()
+            self.servers = {id: s for id, s in self.servers.items() if id in kept}
+            self.whole, self.bad = True, {}
+        for error in update.bad:
+            self.bad[error.host] = error
+        for server in in_order(update.servers.values()):
+            self.place(server)
+
+    def place(self, server: Server) -> None:
+        """The last word on a host; whoever had its address before has gone."""
+        self.bad.pop(server.id, None)
+        self.servers.pop(server.id, None)
+        if server.state == "left":
+            return
+        for id in [id for id, other in self.servers.items() if other.addr == server.addr]:
+            del self.servers[id]
+        self.servers[server.id] = server
+
+    def update(self, offset: int) -> ListUpdate:
+        """All of it as one event."""
+        return ListUpdate(offset, self.whole, self.servers, tuple(self.bad.values()))
