Rename core/wheel.py to core/timing_wheel.py, Wheel to TimingWheel

Cause: the module is Varghese and Lauck's timing wheel and did not say so by its name. Change: module, class and inner names (overflow, earliest_slot, advance_span); docstrings. tests/test_wheel.py is tests/test_timing_wheel.py; no assertion changed. Behaviour unchanged. Measured: test_timing_wheel, test_budgets_slices, test_budgets_faults, test_core, test_door_decide: 59 passed; ruff, mypy, lint-imports clean.

--- a/harrieryoke/budgets/decide/slices.py
+++ b/harrieryoke/budgets/decide/slices.py
@@ -51,7 +51,7 @@
 
 
 class Ends(Protocol):
-    """The timing wheel, `core.wheel.Wheel`."""
+    """The timing wheel, `core.timing_wheel.TimingWheel`."""
 
     def schedule(self, item: int, at: float) -> None: ...
     def cancel(self, item: int) -> bool: ...
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -8,7 +8,7 @@
 from ..limits import Limits
 from .figures import Figures
 from .records import Attempt, Call, Front, HostPort, Task, TaskEnded, Watcher
-from .wheel import Wheel
+from .timing_wheel import TimingWheel
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
 
@@ -37,7 +37,7 @@
         self.rids: dict[str, int] = {}
         self.tasks: dict[Task, HostPort | None] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those that are out, by request and number
-        self.times: Wheel[Task | Entry] = Wheel()  # when each task, and each answer, is due
+        self.times: TimingWheel[Task | Entry] = TimingWheel()  # when each task, and each answer, is due
         self.late: list[Entry] = []  # came to their time in this round
         self.serial = self.held = 0
         self.most = limits.body_share * limits.memory_mb * 2**20
--- a/harrieryoke/core/wheel.py
+++ b/harrieryoke/core/timing_wheel.py
@@ -1,9 +1,8 @@
-"""A hierarchical timing wheel: to schedule, to cancel and to expire each cost O(1), however many are
-waiting.
+"""A hierarchical timing wheel: scheduling, cancelling and expiring an item each cost O(1).
 
 After Varghese and Lauck, "Hashed and hierarchical timing wheels" (1987), scheme 7. Each level has 64 slots,
 and a slot of a level covers all 64 of the one below; a bitmap for each level finds the next slot in use
-without looking at the empty ones. No I/O, no clock: times are milliseconds and come from the caller.
+without scanning empty ones. No I/O and no clock: times are milliseconds and come from the caller.
 """
 
 from __future__ import annotations
@@ -17,16 +16,17 @@
 MASK = SLOTS - 1
 
 
-class Wheel(Generic[T]):
-    """Each item waits for one time. Items beyond the span wait apart until it reaches them. A clock that
-    steps back costs one pass over all; one that steps ahead fires all that is due."""
+class TimingWheel(Generic[T]):
+    """Timers by item, at most one for each. Items beyond the span are kept in an overflow map until the
+    span reaches them. A clock that steps back costs one pass over all items; a clock that steps ahead
+    expires everything that is due."""
 
     def __init__(self, now: float = 0.0) -> None:
         self.tick = int(now)
         self.slots: list[list[dict[T, float]]] = [[{} for _ in range(SLOTS)] for _ in range(LEVELS)]
         self.used = [0] * LEVELS  # a bit for each slot that is not empty
-        self.far: dict[T, float] = {}
-        self.places: dict[T, tuple[int, int]] = {}  # level and slot; level LEVELS is `far`
+        self.overflow: dict[T, float] = {}
+        self.places: dict[T, tuple[int, int]] = {}  # level and slot; level LEVELS is `overflow`
 
     def __len__(self) -> int:
         return len(self.places)
@@ -35,17 +35,18 @@
         return item in self.places
 
     def schedule(self, item: T, at: float) -> None:
-        """Anew, if it waits already. A time that has passed is due at once."""
+        """Set the item's time, replacing an earlier one. A time in the past is due at once."""
         self.cancel(item)
         self.place(item, at)
 
     def place(self, item: T, at: float) -> None:
+        """Put an item that is not scheduled into the slot of its time, or into the overflow map."""
         due = max(self.tick, int(min(at, 1e15)))
         level = 0
         while level < LEVELS and due >> (BITS * (level + 1)) != self.tick >> (BITS * (level + 1)):
             level += 1
         if level == LEVELS:
-            self.far[item] = at
+            self.overflow[item] = at
             self.places[item] = (LEVELS, 0)
             return
         slot = (due >> (BITS * level)) & MASK
@@ -54,12 +55,12 @@
         self.places[item] = (level, slot)
 
     def cancel(self, item: T) -> bool:
-        """Whether it was waiting."""
+        """Remove the item; return whether it was scheduled."""
         if (place := self.places.pop(item, None)) is None:
             return False
         level, slot = place
         if level == LEVELS:
-            del self.far[item]
+            del self.overflow[item]
             return True
         held = self.slots[level][slot]
         del held[item]
@@ -67,8 +68,8 @@
             self.used[level] &= ~(1 << slot)
         return True
 
-    def first(self) -> tuple[int, int, int] | None:
-        """Level, slot and first tick of the earliest slot in use."""
+    def earliest_slot(self) -> tuple[int, int, int] | None:
+        """Return level, slot and first tick of the earliest slot in use, or None."""
         for level in range(LEVELS):
             here = (self.tick >> (BITS * level)) & MASK
             if ahead := self.used[level] >> here:
@@ -78,30 +79,30 @@
         return None
 
     def next_time(self) -> float:
-        """When to look again: exact for what is due within 64 ms, else no later than the earliest time."""
-        if (found := self.first()) is None:
-            return float((self.tick // SPAN + 1) * SPAN) if self.far else float("inf")
+        """Return when to call `expired` next: exact within 64 ms, else no later than the earliest time."""
+        if (found := self.earliest_slot()) is None:
+            return float((self.tick // SPAN + 1) * SPAN) if self.overflow else float("inf")
         level, slot, start = found
         return min(self.slots[level][slot].values()) if level == 0 else float(start)
 
     def expired(self, now: float) -> list[T]:
-        """All that is due at `now`, taken out, earliest first."""
+        """Remove and return all items due at `now`, earliest first."""
         target, due = int(now), list[tuple[float, T]]()
         if target < self.tick:
             self.rewind(target)
         while True:
-            found = self.first()
+            found = self.earliest_slot()
             if found is None or found[2] > target:
-                if self.far and target // SPAN > self.tick // SPAN:
-                    self.reach(target)
+                if self.overflow and target // SPAN > self.tick // SPAN:
+                    self.advance_span(target)
                     continue
                 break
             level, slot, start = found
             held = self.slots[level][slot]
             if level == 0:
-                ripe = [item for item, at in held.items() if at <= now]
-                due += [(held[item], item) for item in ripe]
-                for item in ripe:
+                due_here = [item for item, at in held.items() if at <= now]
+                due += [(held[item], item) for item in due_here]
+                for item in due_here:
                     self.cancel(item)
                 if held:  # of the same millisecond, but later than now
                     break
@@ -119,20 +120,19 @@
         return [item for _, item in due]
 
     def rewind(self, target: int) -> None:
-        """The clock stepped back: all is placed anew, so that what comes now is not late by the step."""
-        waiting = dict(self.far)
+        """Place all items anew after the clock stepped back, so that none is late by the step."""
+        waiting = dict(self.overflow)
         for level in self.slots:
             for slot in level:
                 waiting |= slot
                 slot.clear()
-        self.tick, self.used, self.far = target, [0] * LEVELS, {}
+        self.tick, self.used, self.overflow = target, [0] * LEVELS, {}
         for item, at in waiting.items():
             self.place(item, at)
 
-    def reach(self, target: int) -> None:
-        """The span moves on: what waits beyond it is placed anew. All within the old span has been taken
-        out."""
+    def advance_span(self, target: int) -> None:
+        """Move the span on and place the overflow anew. The old span must be empty."""
         self.tick = target // SPAN * SPAN
-        waiting, self.far = self.far, {}
+        waiting, self.overflow = self.overflow, {}
         for item, at in waiting.items():
             self.place(item, at)
--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -14,7 +14,7 @@
 from ..core.actor import Actor, now_ms, waited
 from ..core.module import ModuleActor
 from ..core.records import Asked, Call, Ended, Front, Retuned, Stopping, Taken, Withdrawn
-from ..core.wheel import Wheel
+from ..core.timing_wheel import TimingWheel
 from ..limits import Limits
 from ..log import Log
 from .decide.calendar import Calendar, Rate
@@ -67,7 +67,7 @@
         self.rate = Rate(per_ms=float(told.inside_first))
         self.waiting: dict[Call, Waiting] = {}
         self.inside: dict[Call, Inside] = {}
-        self.times: Wheel[Call] = Wheel(clock())
+        self.times: TimingWheel[Call] = TimingWheel(clock())
         self.stop_at = float("inf")
         self.counts: Counter[str] = Counter()
 
--- a/harrieryoke/lab/structures.py
+++ b/harrieryoke/lab/structures.py
@@ -9,7 +9,7 @@
 from heapq import heapify, heappop, heappush
 from typing import Any
 
-from ..core.wheel import Wheel
+from ..core.timing_wheel import TimingWheel
 from ..door.decide.fair import FairQueue, Item
 from .world import TENANTS, resident_mb
 
@@ -63,7 +63,7 @@
     """Schedule one, cancel one, ask for the next time and for what is due, with 1000 waiting: the wheel, a
     heap that must be built anew for a cancel, and a plain dict that is scanned."""
     delays = [rng.uniform(500, 4000) for _ in range(997)]
-    wheel, plain, heap = Wheel[int](), dict[int, float](), list[tuple[float, int]]()
+    wheel, plain, heap = TimingWheel[int](), dict[int, float](), list[tuple[float, int]]()
     for n in range(WAITING):
         wheel.schedule(n, delays[n % 997])
         plain[n] = delays[n % 997]
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -17,7 +17,7 @@
 from harrieryoke.budgets.decide.slices import Budgets, Giver
 from harrieryoke.budgets.decide.spender import Spender, Taken
 from harrieryoke.budgets.decide.tree import Node, Tree
-from harrieryoke.core.wheel import Wheel
+from harrieryoke.core.timing_wheel import TimingWheel
 
 
 def keep(tree: Tree, node: Node) -> int:
@@ -103,7 +103,7 @@
         self.new_holder()
 
     def copy(self) -> Budgets:
-        return self.parts.budgets("root", ("boss",), Wheel[int]())
+        return self.parts.budgets("root", ("boss",), TimingWheel[int]())
 
     def member(self, name: str) -> Member:
         rate, origin = self.rng.uniform(1 - self.drift, 1 + self.drift), self.rng.uniform(0, 1e6)
--- a/tests/test_budgets_faults.py
+++ b/tests/test_budgets_faults.py
@@ -11,7 +11,7 @@
 from harrieryoke.budgets.decide.sizes import Sizes
 from harrieryoke.budgets.decide.slices import Budgets, Giver, Slice
 from harrieryoke.budgets.decide.spender import Held, Project, Spender
-from harrieryoke.core.wheel import Wheel
+from harrieryoke.core.timing_wheel import TimingWheel
 from harrieryoke.council.decide.hold import Fence
 
 from . import interleave
@@ -104,7 +104,7 @@
 
     def __init__(self, parts: Parts) -> None:
         self.t, self.index, self.charged = 0.0, 2, 0
-        self.budgets = parts.budgets("p", ("boss",), Wheel[int]())
+        self.budgets = parts.budgets("p", ("boss",), TimingWheel[int]())
         self.budgets.apply(1, c.Change("boss", 0, "a test", 0, c.Delegate("p", 1000)), 0.0)
         self.giver = parts.giver(self.budgets, 2, Sizes())
         self.spender = parts.spender("i", 1, Sizes(), 1)
--- a/tests/test_budgets_slices.py
+++ b/tests/test_budgets_slices.py
@@ -12,7 +12,7 @@
 from harrieryoke.budgets.decide.sizes import Sizes
 from harrieryoke.budgets.decide.slices import Budgets
 from harrieryoke.budgets.decide.spender import Empty, Spender, Taken, Unknown
-from harrieryoke.core.wheel import Wheel
+from harrieryoke.core.timing_wheel import TimingWheel
 
 from .budget_world import Timed, World
 
@@ -210,7 +210,7 @@
 def test_a_dump_goes_on_where_it_was() -> None:
     w = Timed(2, ["i0", "i1"], {"p": 10**5})
     w.run(10_000, 5, faults=False)
-    other = Budgets("root", (), Wheel[int]())
+    other = Budgets("root", (), TimingWheel[int]())
     other.load(w.agreed.dump(), 0.0)
     assert other.dump() == w.agreed.dump() and other.asks == w.agreed.asks and len(other.ends) > 0  # type: ignore[arg-type]
     bad = other.apply(10**6, c.Act(1, c.Turn(1)), 0.0)
--- a/tests/test_wheel.py
+++ b/tests/test_timing_wheel.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from harrieryoke.core.wheel import SPAN, Wheel
+from harrieryoke.core.timing_wheel import SPAN, TimingWheel
 
 delays = st.one_of(
     st.floats(-10, 10), st.floats(0, 70), st.floats(0, 5000), st.floats(0, 300_000), st.floats(0, 3 * SPAN)
@@ -25,7 +25,7 @@
 @settings(max_examples=500, deadline=None, derandomize=True)
 @given(st.floats(0, 1e13), steps)
 def test_it_fires_what_a_plain_list_fires(start: float, play: list[tuple[str, int, float]]) -> None:
-    now, wheel, plain = start, Wheel[int](start), dict[int, float]()
+    now, wheel, plain = start, TimingWheel[int](start), dict[int, float]()
     for what, item, value in play:
         if what == "schedule":
             wheel.schedule(item, now + value)
@@ -47,7 +47,7 @@
 
 
 def test_what_is_due_comes_earliest_first_and_once() -> None:
-    wheel = Wheel[str](1000.0)
+    wheel = TimingWheel[str](1000.0)
     for name, at in (("c", 1000.7), ("a", 1000.2), ("b", 1000.5), ("later", 1000.9), ("far", 9e9)):
         wheel.schedule(name, at)
     assert wheel.expired(1000.8) == ["a", "b", "c"] and wheel.expired(1000.8) == []
@@ -56,7 +56,7 @@
 
 
 def test_sleeping_until_the_next_time_always_gets_there() -> None:
-    wheel, now, wakes = Wheel[int](0.0), 0.0, 0
+    wheel, now, wakes = TimingWheel[int](0.0), 0.0, 0
     wheel.schedule(1, 123_456.5)
     while not wheel.expired(now):
         now, wakes = max(now, wheel.next_time()), wakes + 1
