Rename core/figures.py to core/metrics.py, Figures to Metrics

Cause: counters and gauges that operators read are metrics in the field. Change: module, classes and methods (add_classes, for_class, count_final_answer); docstrings. Names that operators read are unchanged, and no assertion of a test changed.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -14,7 +14,7 @@
 from ..limits import Limits
 from ..log import Log
 from .actor import Actor, now_ms
-from .figures import Figures
+from .metrics import Metrics
 from .records import (
     Attempt,
     Call,
@@ -54,7 +54,7 @@
         self.door: Door | None = None  # fair queues, likewise
         self.recorder: Recorder | None = None  # the ledger, likewise
         self.router = Router(settings, seed)
-        self.figures = Figures(c.name for c in settings.classes)
+        self.figures = Metrics(c.name for c in settings.classes)
         self.limits, self.recounted = limits, 0.0
         self.table = RequestTable(settings, limits, self.figures)
         self.ports: dict[int, HostPort] = {}
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -6,7 +6,7 @@
 
 from .. import interface as i
 from ..limits import Limits
-from .figures import Figures
+from .metrics import Metrics
 from .records import Attempt, Call, Front, HostPort, Task, TaskEnded, Watcher
 from .timing_wheel import TimingWheel
 
@@ -29,7 +29,7 @@
 class RequestTable:
     """Owned by the module actor. Tasks that are out end here once, by their host or by their time."""
 
-    def __init__(self, settings: i.Settings, limits: Limits, figures: Figures) -> None:
+    def __init__(self, settings: i.Settings, limits: Limits, figures: Metrics) -> None:
         self.settings, self.limits, self.figures = settings, limits, figures
         self.watchers: list[Watcher] = []  # hear of each end
         self.entries: dict[int, Entry] = {}
@@ -98,7 +98,7 @@
         self.figures.open = len(self.entries)
 
     def tell_watchers(self, call: Call, how: str) -> None:
-        self.figures.ended(self.settings.classes[call.class_index].name, how)
+        self.figures.count_final_answer(self.settings.classes[call.class_index].name, how)
         for watcher in self.watchers:
             watcher.ended(call, how)
 
--- a/harrieryoke/manage/commands.py
+++ b/harrieryoke/manage/commands.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..core.figures import ClassFigures, Figures
+from ..core.metrics import ClassMetrics, Metrics
 from ..errors import EmptyCall, NotText, UnknownCall, WrongArguments
 
 
@@ -50,12 +50,12 @@
     return command, arguments
 
 
-def tell_figures(figures: Figures) -> list[str]:
+def tell_figures(figures: Metrics) -> list[str]:
     """A line for each figure; counts are since the start of the process."""
     lines = []
     for name, counted in figures.classes.items():
         kind = msgspec.json.encode(name).decode()
-        for figure in (f.name for f in fields(ClassFigures)):
+        for figure in (f.name for f in fields(ClassMetrics)):
             value = getattr(counted, figure)
             lines.append(
                 f"invoker_tries{{kind={kind}}} {value}"
--- a/harrieryoke/manage/server.py
+++ b/harrieryoke/manage/server.py
@@ -10,7 +10,7 @@
 from gevent.event import AsyncResult
 
 from ..core.actor import now_ms, spawn
-from ..core.figures import Figures
+from ..core.metrics import Metrics
 from ..errors import Busy, CallTooLong, NotReady, OperatorError, UnfinishedCall, UnknownServer
 from ..limits import Limits
 from ..log import Log
@@ -34,7 +34,7 @@
     def __init__(
         self,
         where: tuple[str, int],
-        figures: Figures,
+        figures: Metrics,
         serves: Callable[[], bool],
         tell_list: Callable[[Ban], bool],
         limits: Limits,
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -10,7 +10,7 @@
 
 from .. import interface as i
 from ..core.actor import Actor, now_ms, spawn
-from ..core.figures import Figures
+from ..core.metrics import Metrics
 from ..core.records import Attempt, Order, Task, TaskEnded
 from ..limits import Limits
 from ..log import Log
@@ -123,7 +123,7 @@
         limits: Limits,
         log: Log,
         report: Callable[[TaskEnded], object],
-        figures: Figures,
+        figures: Metrics,
     ) -> None:
         super().__init__(f"host {name}", limits.host_mailbox, log, reserve=limits.host_mailbox // 4)
         self.standing, self.limits, self.report = standing, limits, report
@@ -259,7 +259,7 @@
         except OSError as error:
             return self.close(link, f"write: {error}", unwritten)
         if isinstance(unwritten, Attempt):
-            self.figures.of(self.classes[unwritten.call.class_index].name).tries += 1
+            self.figures.for_class(self.classes[unwritten.call.class_index].name).tries += 1
 
     # --- links ---
 
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -14,7 +14,7 @@
 
 from .. import interface as i
 from ..core.actor import Actor, spawn
-from ..core.figures import Figures
+from ..core.metrics import Metrics
 from ..core.records import HostName, Listed, TaskEnded
 from ..limits import Limits
 from ..log import Log
@@ -94,7 +94,7 @@
         log: Log,
         tell_module: Callable[[Listed], object],
         report: Callable[[TaskEnded], object],
-        figures: Figures,
+        figures: Metrics,
     ) -> None:
         super().__init__("worker list", limits.list_mailbox, log)
         self.settings, self.limits = settings, limits
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -239,7 +239,7 @@
         except BadRequest as error:
             self.log("bad-request", f"{self.name}: {error}")
             if sort in self.maker.classes:
-                self.core.figures.ended(sort, "refused" if error.code == REFUSED else "failed")
+                self.core.figures.count_final_answer(sort, "refused" if error.code == REFUSED else "failed")
             return self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
         self.open[id], self.ids[call] = call, id
         self.core.offer(call, self)
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -201,7 +201,7 @@
         """Whoever a call comes to knows its class by then: the hosts at once, the parts on its way through
         mailboxes that keep the order, and last the fronts, which name the new classes from here."""
         self.hosts.retune(settings)
-        self.core.figures.know(settings.live())
+        self.core.figures.add_classes(settings.live())
         for part in (self.core, self.gate, self.parts.door, self.parts.ledger):
             if part is not None:
                 part.push(Retuned(settings))
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from harrieryoke import interface as i
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Attempt, Call, Check, Listed, Order, Task
 from harrieryoke.errors import Busy
 from harrieryoke.limits import Limits
@@ -34,7 +34,7 @@
 
 
 def opened(heard: list[Listed], limits: Limits | None = None) -> HostListActor:
-    return HostListActor(SETTINGS, limits or Limits(), Quiet(), heard.append, lambda e: None, Figures())
+    return HostListActor(SETTINGS, limits or Limits(), Quiet(), heard.append, lambda e: None, Metrics())
 
 
 def ban(actor: HostListActor, id: str, on: bool, known: bool = False) -> bool:
@@ -150,7 +150,7 @@
 def test_a_list_that_has_no_time_is_said_to_be_busy_within_a_second() -> None:
     stuck, full = opened([]), opened([], replace(Limits(), list_mailbox=0))
     for actor in (stuck, full):
-        manage = Management(("", 0), Figures(), bool, actor.tell, Limits(), Quiet())
+        manage = Management(("", 0), Metrics(), bool, actor.tell, Limits(), Quiet())
         with gevent.Timeout(0.95), pytest.raises(Busy):
             manage.disable("a")
     assert [len(actor.box) for actor in (stuck, full)] == [1, 0]
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -15,7 +15,7 @@
 
 from harrieryoke import interface as i
 from harrieryoke.core import module
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.module import ModuleActor
 from harrieryoke.core.records import Attempt, Call, Retuned, Task, TaskEnded
 from harrieryoke.core.table import NEVER_RAN, RequestTable
@@ -296,7 +296,7 @@
         self.threads, self.actors = {}, list[StubHost]()
         self.written, self.asked = list[str](), list[tuple[StubHost, int]]()
         self.reports: Counter[Task] = Counter()
-        self.list = WatchedList(SETTINGS, Limits(), self.log, self.core.push, self.report, Figures())
+        self.list = WatchedList(SETTINGS, Limits(), self.log, self.core.push, self.report, Metrics())
         self.list.apply([Server("h1", "10.0.0.1:9", "active")], i.ListScope.REMEMBERED)
         said = BusSaid(BusEvent(1, NEWS[news]))
         self.threads |= {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from harrieryoke import interface as i
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Attempt, Call, TaskEnded
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
@@ -315,7 +315,7 @@
         return got
 
     monkeypatch.setattr(socket, "create_connection", dial)
-    actor = HostActor("h", Standing(("127.0.0.1", 9)), KINDS, Limits(), Log(), lambda ended: None, Figures())
+    actor = HostActor("h", Standing(("127.0.0.1", 9)), KINDS, Limits(), Log(), lambda ended: None, Metrics())
     with actor.connect() as sock:
         assert sock and not said
     said.append(ConnectionRefusedError())
@@ -330,7 +330,7 @@
         def close(self) -> None: ...
 
     ends: list[TaskEnded] = []
-    actor = HostActor("h", Standing(("127.0.0.1", 9)), KINDS, Limits(), Log(), ends.append, Figures())
+    actor = HostActor("h", Standing(("127.0.0.1", 9)), KINDS, Limits(), Log(), ends.append, Metrics())
     old, new = (Attempt(1, 1e18, 0.0, call=Call(f"{n:016x}", 0, "f", 1e18)) for n in (1, 2))
     link = Link(Broken(), Decoder(0), {1: old})
     actor.links.append(link)
