Rename retune.py to reload.py, with describe_changes and find_missing_key

Cause: what SIGHUP does is a reload in the field and in the log's own kinds. The methods named retune and the message Retuned stay (net/, core/, interface.py). Behaviour and texts unchanged; no assertion of a test changed.

--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -23,7 +23,7 @@
 from .net.hostlist import BusFollower, HostListActor
 from .net.platform import PlatformFront, StopListening
 from .parts import CouncilPart, Parts
-from .retune import changes, lost, merge
+from .reload import describe_changes, find_missing_key, merge
 
 if TYPE_CHECKING:
     from .upgrade.link import Upgrade
@@ -171,7 +171,7 @@
         if self.stop.is_set():
             raise ConfigError("the process is stopping")
         old = self.config
-        if (key := lost([old.told], new.told)) is not None:
+        if (key := find_missing_key([old.told], new.told)) is not None:
             raise ConfigError(key)
         try:
             settings = merge(old.settings, new.settings, self.limits.class_slots)
@@ -192,7 +192,7 @@
             self.parts.ledger.reload()
         stays = [key for key in RESTART if getattr(new, key) != getattr(old, key)]
         stays += ["settings.discovery"] if new.settings.list_on_request != settings.list_on_request else []
-        told = [changes(old.settings, settings)]
+        told = [describe_changes(old.settings, settings)]
         told += [f"a restart is needed for: {', '.join(stays)}"] if stays else []
         self.config = replace(old, settings=settings, bus=new.bus, told=new.told)
         return "; ".join(filter(None, told))
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -24,7 +24,7 @@
 from harrieryoke.net import frames, host, hostlist
 from harrieryoke.net.host import Heard, HostActor
 from harrieryoke.net.hostlist import BusEvent, BusSaid, HostListActor, Server, Topology, worker_number
-from harrieryoke.retune import merge
+from harrieryoke.reload import merge
 
 from .interleave import Counts, Failed, Thread, Wait, World, actor_thread, explore, pause, replay, shape
 from .rig import SETTINGS
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -21,7 +21,7 @@
 from harrieryoke.core.records import Retuned
 from harrieryoke.log import Log
 from harrieryoke.net import frames
-from harrieryoke.retune import changes, lost, merge
+from harrieryoke.reload import describe_changes, find_missing_key, merge
 from harrieryoke.service import Service
 
 from .rig import SETTINGS as RULES
@@ -462,7 +462,9 @@
         assert force.kinds[: len(old.kinds)] == old.kinds
         assert dict(zip(force.kinds, force.memory_by_kind, strict=True)) == {k: ord(k) for k in force.kinds}
         assert force.shortest_aim() == new.shortest_aim()
-        assert merge(force, new, len(force.classes)) == force and not changes(force, merge(force, new, 99))
+        assert merge(force, new, len(force.classes)) == force and not describe_changes(
+            force, merge(force, new, 99)
+        )
         if len(force.classes) > 1:
             with pytest.raises(ValueError, match="restart"):
                 merge(force, new, len(force.classes) - 1)
@@ -489,7 +491,7 @@
             break
         place = place[key]
     place[key] = data.draw(JSON)
-    named = lost([force], told)
+    named = find_missing_key([force], told)
     path = tmp_path_factory.getbasetemp() / "any.json"
     path.write_text(json.dumps(told))
     try:
@@ -519,7 +521,7 @@
     ],
 )
 def test_what_the_file_in_force_has_the_new_one_needs(force: Any, new: Any, found: str | None) -> None:
-    got = lost([force], new)
+    got = find_missing_key([force], new)
     assert got == found or (got or "").startswith(found or "-")
 
 
