--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -1,10 +1,10 @@
 """The link between the process that serves and the one that replaces it: a Unix socket in `$TMPDIR`.
 
 The new process says hello and gets, in one line, the ids of banned hosts and how many bytes follow; the
-listening socket comes with that line (SCM_RIGHTS), behind it what `carry.py` packs. Once it accepts, the new
-one says `serving`, and the old one accepts no more; the connection of each client follows as soon as no
-request is open on it. While the link stands each tells the other of bans. If it ends before the old process
-was told to stop, the old one accepts again.
+listening socket comes with that line (SCM_RIGHTS), behind it what `state_transfer.py` packs. Once it accepts,
+the new one says `serving`, and the old one accepts no more; the connection of each client follows as soon as
+no request is open on it. While the link stands each tells the other of bans. If it ends before the old
+process was told to stop, the old one accepts again.
 """
 
 from __future__ import annotations
@@ -208,11 +208,11 @@
         """Before this process serves: what the one before has learned goes to the module."""
         if self.before is None:
             return
-        from ..carry import CarryError, restore, unpack
+        from ..state_transfer import StateTransferError, restore, unpack
 
         try:
             told = unpack(self.before.learned) if self.before.learned else None
-        except CarryError as error:
+        except StateTransferError as error:
             return self.log("takeover-forgot", f"starting without what was learned: {error}")
         if told is not None:
             self.core.push(Visit(lambda router: restore(router, told)))
@@ -315,7 +315,7 @@
                 self.lost(link)
 
     def hand_over(self, link: Link) -> None:
-        from ..carry import pack
+        from ..state_transfer import pack
 
         told: AsyncResult = AsyncResult()
         learned = b""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,10 +16,10 @@
 
 from harrieryoke import interface as i
 from harrieryoke.brain import Router
-from harrieryoke.carry import CarryError, pack, restore, unpack
 from harrieryoke.core.actor import now_ms
 from harrieryoke.lab.world import ROOT, World, free_port
 from harrieryoke.net.frames import REQUEST
+from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
 from harrieryoke.upgrade.link import at
 
@@ -282,7 +282,7 @@
 )
 def test_what_was_handed_on_and_is_damaged_is_refused_whole(spoil: object) -> None:
     data = pack(learned().router)
-    with pytest.raises(CarryError):
+    with pytest.raises(StateTransferError):
         unpack(spoil(data))  # type: ignore[operator]
 
 
