Split the messages of an upgrade into upgrade/messages.py under whole standard names

Cause: Said, Say, Banned, Client, Handed, Leaving and BanSet do not say who sends what to whom. Change: PeerMessage, PeerMessageReceived, BanChange, ClientTransfer, HandoverHeader, ClientReleased, LocalBanChange in a module of their own; request_handover with receive_handover split off, take_over, restore_state, transfer_client, on_link_lost, successor, predecessor; docstrings. Tags on the wire, log kinds and texts are unchanged. test_kills names its points by the new names; no assertion of a test changed.

--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -74,7 +74,7 @@
         self.core.start()
         self.bus.start()
         if self.upgrade is not None:
-            self.upgrade.learn()
+            self.upgrade.restore_state()
         try:
             self.front.start(listening, shared=self.upgrade is not None)
         except OSError as error:
@@ -130,7 +130,7 @@
 
         path = folder / "harrieryoke-{}-{}".format(*self.config.listen)
         self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log)
-        return self.upgrade.meet()
+        return self.upgrade.take_over()
 
     def run(self) -> int:
         """Serves until SIGTERM or SIGINT, then answers all that was taken."""
--- a/harrieryoke/upgrade/__init__.py
+++ b/harrieryoke/upgrade/__init__.py
@@ -1,1 +1,1 @@
-"""One process takes over from another on the same addresses: its listening socket, what it learned, bans."""
+"""Zero-downtime upgrade: a new process takes over the socket, the clients, the learned state and the bans."""
--- a/harrieryoke/upgrade/bans.py
+++ b/harrieryoke/upgrade/bans.py
@@ -1,4 +1,4 @@
-"""The model hosts that operators took out, in a small file that outlives the process."""
+"""The file of banned hosts: the ids that operators drained, kept over a restart."""
 
 from __future__ import annotations
 
@@ -14,33 +14,33 @@
 
 
 class BanFile:
-    """Written whole or not at all: beside the file first, then in its place."""
+    """The ids in a checksummed file, replaced atomically by a rename."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
 
     def read(self) -> list[str]:
-        """The ids that are out; none where there is no file. Raises BansError for one that can't be read."""
+        """Return the banned ids, none without a file. Raises BansError for a file that can't be read."""
         try:
-            head, _, body = self.path.read_bytes().partition(b"\n")
+            checksum, _, body = self.path.read_bytes().partition(b"\n")
         except FileNotFoundError:
             return []
         except OSError as error:
             raise BansError(str(error)) from None
         try:
-            if int(head) != zlib.crc32(body):
+            if int(checksum) != zlib.crc32(body):
                 raise BansError("its checksum is wrong")
             return msgspec.json.decode(body, type=list[str])
         except ValueError as error:
             raise BansError(str(error)) from None
 
     def write(self, ids: list[str]) -> None:
-        """Raises OSError where the disk takes nothing; the file before stays."""
+        """Replace the file. Raises OSError if it can't be written; the old file stays."""
         body = msgspec.json.encode(sorted(ids))
-        aside = self.path.with_name(f"{self.path.name}.{os.getpid()}")
+        temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
-            aside.write_bytes(b"%d\n" % zlib.crc32(body) + body)
-            os.replace(aside, self.path)
+            temporary.write_bytes(b"%d\n" % zlib.crc32(body) + body)
+            os.replace(temporary, self.path)
         except OSError:
-            aside.unlink(missing_ok=True)
+            temporary.unlink(missing_ok=True)
             raise
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -1,17 +1,16 @@
-"""The link between the process that serves and the one that replaces it: a Unix socket in `$TMPDIR`.
-
-The new process says hello and gets, in one line, the ids of banned hosts and how many bytes follow; the
-listening socket comes with that line (SCM_RIGHTS), behind it what `state_transfer.py` packs. Once it accepts,
-the new one says `serving`, and the old one accepts no more; the connection of each client follows as soon as
-no request is open on it. While the link stands each tells the other of bans. If it ends before the old
-process was told to stop, the old one accepts again.
+"""Zero-downtime upgrade: the link between the process that serves and its successor.
+
+The link is a Unix socket in `$TMPDIR`. A new process sends `hello` and receives one line with the ids of
+banned hosts and the size of the state that follows; the listening socket comes with that line (SCM_RIGHTS),
+behind it what `state_transfer.py` packs. Once it accepts clients, the new process sends `serving`, and the
+old one stops accepting; each client connection follows as soon as no request is open on it. While the link
+stands each process tells the other of bans. If the link ends before the old process was told to stop, the old
+one accepts again.
 """
 
 from __future__ import annotations
 
 import os
-from array import array
-from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -31,43 +30,24 @@
 from ..net.hostlist import Ban, HostListActor
 from ..net.platform import Accepted, PlatformFront, Resume, Yield
 from .bans import BanFile, BansError
-
-
-class Hello(msgspec.Struct, tag="hello"):
-    """A new process asks for what is here."""
-
-
-class Serving(msgspec.Struct, tag="serving"):
-    """The new process accepts clients."""
-
-
-class Banned(msgspec.Struct, tag="ban"):
-    """An operator took a host out, or put it back."""
-
-    id: str
-    on: bool
-
-
-class Client(msgspec.Struct, tag="client"):
-    """A client's connection comes with this."""
-
-    name: str
-
-
-class Handed(msgspec.Struct, tag="handed"):
-    """The first line to a new process; `size` bytes of what was learned follow."""
-
-    size: int
-    bans: list[str]
-
-
-Say = Hello | Serving | Banned | Client
-SAYS: msgspec.json.Decoder[Say] = msgspec.json.Decoder(Say)
+from .messages import (
+    PEER_MESSAGE_DECODER,
+    BanChange,
+    ClientReleased,
+    ClientTransfer,
+    HandoverHeader,
+    Hello,
+    Link,
+    LinkLost,
+    LocalBanChange,
+    PeerMessageReceived,
+    Serving,
+)
 
 
 @contextmanager
-def at(path: Path) -> Iterator[str]:
-    """Guards against a long path: a Unix address holds 107 bytes, and a folder's descriptor stands for it."""
+def short_socket_path(path: Path) -> Iterator[str]:
+    """Give a short name for `path`, through its folder's descriptor: a Unix address holds only 107 bytes."""
     folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
     try:
         yield f"/proc/self/fd/{folder}/{path.name}"
@@ -76,40 +56,26 @@
 
 
 class Predecessor(msgspec.Struct):
-    """The process that serves here so far, and what it handed on."""
+    """The process that has served here so far, and what it handed over."""
 
     sock: socket.socket
     listening: socket.socket
     bans: list[str]
-    learned: bytes
+    state: bytes
 
 
-def meet(path: Path, limits: Limits, log: Log) -> Predecessor | None:
-    """Asks whoever listens at `path`, for `handover_ms` at most; None where nobody answers as it should."""
+def request_handover(path: Path, limits: Limits, log: Log) -> Predecessor | None:
+    """Ask the process that listens at `path` for a handover, for `handover_ms` at most; None if there is no
+    process, or it does not complete the handover."""
     sock, fds = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), list[int]()
     try:
         with gevent.Timeout(limits.handover_ms / 1000, TimeoutError("it did not answer in time")):
-            with at(path) as name:
+            with short_socket_path(path) as name:
                 sock.connect(name)
             sock.sendall(msgspec.json.encode(Hello()) + b"\n")
-            data = b""
-            while b"\n" not in data:
-                more, came, _, _ = recv_fds(sock, 65536, 1)
-                fds += came
-                if not more or len(data) > limits.handover_bytes:
-                    raise ValueError("it ended before it had handed over")
-                data += more
-            line, _, learned = data.partition(b"\n")
-            handed: Handed = msgspec.json.decode(line, type=Handed)
-            if not fds or handed.size > limits.handover_bytes:
-                raise ValueError("it handed over no socket, or too much")
-            while len(learned) < handed.size:
-                more = sock.recv(65536)
-                if not more:
-                    raise ValueError("it ended before it had handed over")
-                learned += more
+            header, state = receive_handover(sock, fds, limits)
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fds.pop())
-        return Predecessor(sock, listening, handed.bans, learned)
+        return Predecessor(sock, listening, header.bans, state)
     except (FileNotFoundError, ConnectionRefusedError):
         sock.close()  # nobody serves here: an ordinary start
     except (OSError, ValueError, msgspec.MsgspecError) as error:
@@ -120,46 +86,30 @@
     return None
 
 
-class Link(msgspec.Struct, eq=False):
-    """To the process before, or to one that comes after; descriptors wait for the line they came with."""
-
-    sock: socket.socket
-    descriptors: deque[int] = msgspec.field(default_factory=deque)
-
-    def send(self, line: bytes, descriptor: int) -> None:
-        """A line, and a descriptor with its first byte. Raises OSError."""
-        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array("i", [descriptor]))]
-        while not self.sock.sendmsg([line[:1]], rights):
-            pass
-        self.sock.sendall(line[1:])
-
-
-class Said(msgspec.Struct):
-    link: Link
-    what: Say
-    descriptor: int | None = None
-
-
-class Leaving(msgspec.Struct):
-    """A client's connection that is to go to the process that has taken over."""
-
-    sock: socket.socket
-    name: str
-
-
-class LinkLost(msgspec.Struct):
-    link: Link
-
-
-class BanSet(msgspec.Struct):
-    """An operator's word here, for the other process."""
-
-    id: str
-    on: bool
+def receive_handover(sock: socket.socket, fds: list[int], limits: Limits) -> tuple[HandoverHeader, bytes]:
+    """Read the header and the state that follows it; descriptors are appended to `fds` as they come, so that
+    the caller can close them after an error. Raises OSError, ValueError or MsgspecError."""
+    data = b""
+    while b"\n" not in data:
+        more, received, _, _ = recv_fds(sock, 65536, 1)
+        fds += received
+        if not more or len(data) > limits.handover_bytes:
+            raise ValueError("it ended before it had handed over")
+        data += more
+    line, _, state = data.partition(b"\n")
+    header: HandoverHeader = msgspec.json.decode(line, type=HandoverHeader)
+    if not fds or header.size > limits.handover_bytes:
+        raise ValueError("it handed over no socket, or too much")
+    while len(state) < header.size:
+        more = sock.recv(65536)
+        if not more:
+            raise ValueError("it ended before it had handed over")
+        state += more
+    return header, state
 
 
 class Upgrade(Actor):
-    """Hands over to processes that come after, and goes on serving where one of them ends too early."""
+    """Hands over to a successor, and serves again if the successor ends too early."""
 
     def __init__(
         self,
@@ -170,173 +120,185 @@
         limits: Limits,
         log: Log,
     ) -> None:
-        """`path`, with an ending, names the socket and the file of bans."""
+        """`path` is the common prefix of the socket and of the file of bans."""
         super().__init__("upgrade", limits.list_mailbox, log)
         self.front, self.core, self.hosts, self.limits = front, core, hosts, limits
         self.path = path.with_name(f"{path.name}.sock")
         self.file = BanFile(path.with_name(f"{path.name}.bans"))
-        self.links: list[Link] = []  # to processes that have said hello, and to the one before
-        self.heard: set[Link] = set()  # all whose lines are read
-        self.before: Predecessor | None = None
-        hosts.keep = self.keep
-        self.leading: Link | None = None  # the process that has taken over
+        self.links: list[Link] = []  # to processes that have sent hello, and to the predecessor
+        self.reading: set[Link] = set()  # links with a reader
+        self.predecessor: Predecessor | None = None
+        hosts.keep = self.record_ban
+        self.successor: Link | None = None  # the process that has taken over
         self.stopping = False
         self.listening: socket.socket | None = None
 
-    def meet(self) -> tuple[socket.socket | None, list[str]]:
-        """The listening socket of the process that serves here so far, if there is one; the banned hosts."""
-        self.before = meet(self.path, self.limits, self.log)
-        if self.before is not None:
-            self.links.append(Link(self.before.sock))
-            return self.before.listening, self.before.bans
+    def take_over(self) -> tuple[socket.socket | None, list[str]]:
+        """Return the predecessor's listening socket, or None at an ordinary start, and the banned hosts."""
+        self.predecessor = request_handover(self.path, self.limits, self.log)
+        if self.predecessor is not None:
+            self.links.append(Link(self.predecessor.sock))
+            return self.predecessor.listening, self.predecessor.bans
         try:
             return None, self.file.read()
         except BansError as error:
             self.log("bans-damaged", f"{self.file.path}: {error}")
             return None, []
 
-    def keep(self, id: str, on: bool) -> None:
-        """Before the yes to an operator: the ban is in the file, and on its way to the other process."""
+    def record_ban(self, id: str, on: bool) -> None:
+        """Write the ban to the file and send it to the other process, before the operator gets a yes."""
         try:
             self.file.write(self.hosts.bans())
         except OSError as error:
-            # guards against a full disk: the ban holds, and goes to a process that comes after by the link
+            # on a full disk the ban still holds, and a successor receives it over the link
             self.log("bans-not-kept", f"{self.file.path}: {error}")
-        self.tell(BanSet(id, on))
+        self.tell(LocalBanChange(id, on))
 
-    def learn(self) -> None:
-        """Before this process serves: what the one before has learned goes to the module."""
-        if self.before is None:
+    def restore_state(self) -> None:
+        """Give the predecessor's learned state to the router, before this process serves."""
+        if self.predecessor is None:
             return
         from ..state_transfer import StateTransferError, restore, unpack
 
         try:
-            told = unpack(self.before.learned) if self.before.learned else None
+            state = unpack(self.predecessor.state) if self.predecessor.state else None
         except StateTransferError as error:
-            return self.log("takeover-forgot", f"starting without what was learned: {error}")
-        if told is not None:
-            self.core.push(Visit(lambda router: restore(router, told)))
-        learned, bans = len(self.before.learned), len(self.before.bans)
-        self.log("takeover", f"{learned} bytes and {bans} bans were handed over")
+            self.log("takeover-forgot", f"starting without what was learned: {error}")
+            return
+        if state is not None:
+            self.core.push(Visit(lambda router: restore(router, state)))
+        size, bans = len(self.predecessor.state), len(self.predecessor.bans)
+        self.log("takeover", f"{size} bytes and {bans} bans were handed over")
 
     def start(self) -> None:
-        """This process serves: the one before hears of it, and those that come after find this one."""
-        if self.before is not None:
-            self.say(self.links[0], Serving())
-            self.read_from(self.links[0])
+        """This process serves: tell the predecessor, and listen for successors."""
+        if self.predecessor is not None:
+            self.send(self.links[0], Serving())
+            self.start_reader(self.links[0])
         self.listen()
         super().start()
 
     def listen(self) -> None:
-        """From here on processes that come after find this one at the path."""
+        """Listen at the path, replacing any other socket there."""
         aside = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
             listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-            with at(aside) as name:
+            with short_socket_path(aside) as name:
                 listening.bind(name)
             listening.listen(4)
             os.replace(aside, self.path)
         except OSError as error:
-            # guards against a folder that takes nothing: this process serves, and the next one binds anew
+            # this process serves all the same; its successor will bind the address for itself
             listening.close()
             self.log("no-upgrade", f"a process that comes after will not find this one: {error}")
         else:
             if self.listening is not None:
                 self.listening.close()
             self.listening = listening
-            spawn(self.log, "upgrade listener", lambda: self.accept(listening))
+            spawn(self.log, "upgrade listener", lambda: self.accept_links(listening))
 
-    def accept(self, listening: socket.socket) -> None:
-        """The listener's greenlet, until its descriptor is closed."""
+    def accept_links(self, listening: socket.socket) -> None:
+        """Run the listener's greenlet, until its descriptor is closed."""
         while not self.over:
             try:
                 sock, _ = listening.accept()
             except OSError:
                 return
-            if len(self.heard) < self.limits.upgrade_links:
-                self.read_from(Link(sock))
+            if len(self.reading) < self.limits.upgrade_links:
+                self.start_reader(Link(sock))
             else:
-                # guards the descriptors: a process that finds no room here binds for itself
+                # descriptors are bounded: a process that is turned away binds the address for itself
                 sock.close()
 
-    def read_from(self, link: Link) -> None:
-        self.heard.add(link)
+    def start_reader(self, link: Link) -> None:
+        """Read the link's lines in a greenlet of its own."""
+        self.reading.add(link)
         link.sock.settimeout(self.limits.handover_ms / 1000)
         spawn(self.log, "upgrade link", lambda: self.read(link), lambda: self.push(LinkLost(link)))
 
     def read(self, link: Link) -> None:
-        """A link's greenlet: its lines in order, until it ends."""
-        rest = b""
-        while len(rest) <= self.limits.line_bytes:
+        """Run a link's reader: its lines in order, until it ends."""
+        remainder = b""
+        while len(remainder) <= self.limits.line_bytes:
             try:
-                data, came, _, _ = recv_fds(link.sock, 4096, 64)
+                data, received, _, _ = recv_fds(link.sock, 4096, 64)
             except TimeoutError:
                 continue
             except OSError:
                 return
             if not data:
                 return
-            link.descriptors.extend(came)
-            *lines, rest = (rest + data).split(b"\n")
-            for line in lines:
-                try:
-                    said = SAYS.decode(line)
-                    carries = isinstance(said, Client) and link.descriptors
-                    self.push(Said(link, said, link.descriptors.popleft() if carries else None))
-                except msgspec.MsgspecError as error:
-                    return self.log("upgrade-link", f"what came can't be read: {error}")
-
-    def say(self, link: Link, what: msgspec.Struct) -> None:
+            link.descriptors.extend(received)
+            *lines, remainder = (remainder + data).split(b"\n")
+            try:
+                for line in lines:
+                    self.deliver(link, line)
+            except msgspec.MsgspecError as error:
+                self.log("upgrade-link", f"what came can't be read: {error}")
+                return
+
+    def deliver(self, link: Link, line: bytes) -> None:
+        """Queue one line for the actor, with its descriptor. Raises MsgspecError."""
+        message = PEER_MESSAGE_DECODER.decode(line)
+        has_descriptor = isinstance(message, ClientTransfer) and link.descriptors
+        descriptor = link.descriptors.popleft() if has_descriptor else None
+        self.push(PeerMessageReceived(link, message, descriptor))
+
+    def send(self, link: Link, message: msgspec.Struct) -> None:
+        """Send one line; a broken link is only logged, as its reader ends it."""
         try:
-            link.sock.sendall(msgspec.json.encode(what) + b"\n")
+            link.sock.sendall(msgspec.json.encode(message) + b"\n")
         except OSError as error:
             self.log("upgrade-link", str(error))
 
     def receive(self, message: Any) -> None:
         match message:
-            case Said(link, Hello()):
+            case PeerMessageReceived(link, Hello()):
                 self.hand_over(link)
-            case Said(link, Serving()) if not self.stopping and link in self.links:
+            case PeerMessageReceived(link, Serving()) if not self.stopping and link in self.links:
                 self.log("taken-over", "another process serves; what was taken here is answered here")
-                self.leading = link
-                self.front.push(Yield(lambda sock, name: self.push(Leaving(sock, name))))
+                self.successor = link
+                self.front.push(Yield(lambda sock, name: self.push(ClientReleased(sock, name))))
                 self.core.push(Leading(False))
-            case Said(_, Client(name), int(descriptor)):
+            case PeerMessageReceived(_, ClientTransfer(name), int(descriptor)):
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
                 self.front.push(Accepted(sock, name, asked=True))
-            case Leaving(sock, name):
-                self.pass_on(sock, name)
-            case Said(_, Banned(id, on)):
+            case ClientReleased(sock, name):
+                self.transfer_client(sock, name)
+            case PeerMessageReceived(_, BanChange(id, on)):
                 self.hosts.push(Ban(id, on, AsyncResult(), known=True))
-            case BanSet(id, on):
+            case LocalBanChange(id, on):
                 for link in self.links:
-                    self.say(link, Banned(id, on))
+                    self.send(link, BanChange(id, on))
             case LinkLost(link):
-                self.lost(link)
+                self.on_link_lost(link)
 
     def hand_over(self, link: Link) -> None:
+        """Send a new process the listening socket, the bans and the learned state."""
         from ..state_transfer import pack
 
-        told: AsyncResult = AsyncResult()
-        learned = b""
-        # guards against a module that can't answer just now: the new process starts with less, but it starts
-        if self.core.tell(Visit(lambda router: told.set(pack(router)))):
+        packed: AsyncResult = AsyncResult()
+        state = b""
+        # a router too busy to answer must not hold up the handover: the new process then starts without state
+        if self.core.tell(Visit(lambda router: packed.set(pack(router)))):
             try:
-                learned = told.get(timeout=self.limits.carry_ms / 1000)
+                state = packed.get(timeout=self.limits.carry_ms / 1000)
             except gevent.Timeout:
                 self.log("takeover-forgot", "the module was too busy to tell what it learned")
         self.links.append(link)
         try:
-            head = msgspec.json.encode(Handed(len(learned), self.hosts.bans())) + b"\n"
-            link.send(head + learned, self.front.listening.fileno())
+            header = msgspec.json.encode(HandoverHeader(len(state), self.hosts.bans())) + b"\n"
+            link.send_with_descriptor(header + state, self.front.listening.fileno())
         except OSError as error:
             self.log("upgrade-link", str(error))
 
-    def pass_on(self, sock: socket.socket, name: str) -> None:
-        """A connection that can't be passed on is served here: nothing on it is lost."""
+    def transfer_client(self, sock: socket.socket, name: str) -> None:
+        """Transfer an idle client connection to the successor. If that fails it is served here, so that
+        nothing on it is lost."""
         try:
-            if self.leading is not None:
-                self.leading.send(msgspec.json.encode(Client(name)) + b"\n", sock.fileno())
+            if self.successor is not None:
+                line = msgspec.json.encode(ClientTransfer(name)) + b"\n"
+                self.successor.send_with_descriptor(line, sock.fileno())
                 sock.close()
                 return
         except OSError as error:
@@ -344,31 +306,34 @@
         self.front.push(Accepted(sock, name, asked=True))
 
     def close(self, link: Link) -> None:
+        """Close the link and the descriptors that no line has claimed."""
         link.sock.close()
         while link.descriptors:
             os.close(link.descriptors.popleft())
 
-    def lost(self, link: Link) -> None:
+    def on_link_lost(self, link: Link) -> None:
+        """Forget the link; if it was the successor's, serve again."""
         self.close(link)
-        self.heard.discard(link)
+        self.reading.discard(link)
         if link in self.links:
             self.links.remove(link)
-        if link is self.leading and not self.stopping:
-            # guards against a new process that ends right after it has taken over: somebody must serve
+        if link is self.successor and not self.stopping:
+            # the successor ended right after it had taken over, and somebody must serve
             self.log("taken-back", "the process that had taken over has ended; this one serves again")
-            self.leading = None
-            # guards against its stale socket at the path: the next process would find nobody, and bind anew
+            self.successor = None
+            # the path may hold its stale socket: the next process would find nobody, and bind anew
             self.listen()
             self.front.push(Resume())
             self.core.push(Leading(True))
 
     def stop(self) -> None:
-        """SIGTERM came: from here on nothing is taken up again."""
+        """SIGTERM came: from here on this process does not serve again."""
         self.stopping = True
 
     def finish(self) -> None:
+        """Close all links and the listener."""
         super().finish()
-        for link in self.heard:
+        for link in self.reading:
             self.close(link)
         if self.listening is not None:
             self.listening.close()
--- /dev/null
+++ b/harrieryoke/upgrade/messages.py
@@ -0,0 +1,86 @@
+"""Messages of an upgrade: the lines between the two processes, and those to the upgrade's own actor.
+
+The tags are the wire's and stay as they are: either process may be of an older version.
+"""
+
+from __future__ import annotations
+
+from array import array
+from collections import deque
+
+import msgspec
+from gevent import socket
+
+
+class Hello(msgspec.Struct, tag="hello"):
+    """A new process asks for a handover."""
+
+
+class Serving(msgspec.Struct, tag="serving"):
+    """The new process accepts clients."""
+
+
+class BanChange(msgspec.Struct, tag="ban"):
+    """An operator of the sending process drained a host, or put it back."""
+
+    id: str
+    on: bool
+
+
+class ClientTransfer(msgspec.Struct, tag="client"):
+    """A client's connection comes with this line, as a descriptor."""
+
+    name: str
+
+
+class HandoverHeader(msgspec.Struct, tag="handed"):
+    """The first line to a new process; `size` bytes of learned state follow."""
+
+    size: int
+    bans: list[str]
+
+
+PeerMessage = Hello | Serving | BanChange | ClientTransfer
+PEER_MESSAGE_DECODER: msgspec.json.Decoder[PeerMessage] = msgspec.json.Decoder(PeerMessage)
+
+
+class Link(msgspec.Struct, eq=False):
+    """A connection to the predecessor or to a successor; descriptors wait for the line that owns them."""
+
+    sock: socket.socket
+    descriptors: deque[int] = msgspec.field(default_factory=deque)
+
+    def send_with_descriptor(self, line: bytes, descriptor: int) -> None:
+        """Send a line, and a descriptor with its first byte. Raises OSError."""
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array("i", [descriptor]))]
+        while not self.sock.sendmsg([line[:1]], rights):
+            pass
+        self.sock.sendall(line[1:])
+
+
+class PeerMessageReceived(msgspec.Struct):
+    """A line read from a link, with the descriptor that belongs to it."""
+
+    link: Link
+    message: PeerMessage
+    descriptor: int | None = None
+
+
+class ClientReleased(msgspec.Struct):
+    """The front gives up an idle client connection, to be transferred to the successor."""
+
+    sock: socket.socket
+    name: str
+
+
+class LinkLost(msgspec.Struct):
+    """A link's reader has ended."""
+
+    link: Link
+
+
+class LocalBanChange(msgspec.Struct):
+    """An operator of this process changed a ban; the other process is to be told."""
+
+    id: str
+    on: bool
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,8 @@
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net.platform import Resume, Yield
-from harrieryoke.upgrade.link import Link, LinkLost, Said, Serving, Upgrade
+from harrieryoke.upgrade.link import Upgrade
+from harrieryoke.upgrade.messages import Link, LinkLost, PeerMessageReceived, Serving
 
 from .interleave import Failed, Thread, Wait, World, explore, replay
 
@@ -52,7 +53,11 @@
         self.accepted: list[int] = []
         self.old_accepts, self.old_lives, self.old_ends = True, True, False
         self.new_accepts, self.new_lives = False, True
-        new = [self.deliver(Accepting()), ("serve", self.serve), self.deliver(Said(self.link, Serving()))]
+        new = [
+            self.deliver(Accepting()),
+            ("serve", self.serve),
+            self.deliver(PeerMessageReceived(self.link, Serving())),
+        ]
         self.threads: dict[str, Thread] = {
             "clients": [(f"connect-{n}", partial(self.queue.append, n)) for n in (1, 2)],
             "new": self.living(new),
@@ -65,7 +70,7 @@
         }
 
     def deliver(self, message: Any) -> tuple[str, Callable[[], object]]:
-        return f"say-{type(getattr(message, 'what', message)).__name__}", lambda: self.old.tell(message)
+        return f"say-{type(getattr(message, 'message', message)).__name__}", lambda: self.old.tell(message)
 
     def living(self, steps: list[tuple[str, Callable[[], object]]]) -> Iterator[str]:
         for label, step in steps:
@@ -119,7 +124,7 @@
             self.new_accepts,
             self.new_lives,
             said,
-            self.old.leading is None,
+            self.old.successor is None,
             self.old.stopping,
             len(self.old.links),
         )
@@ -135,7 +140,7 @@
 class Forgetful(Upgrade):
     """Planted: does not take up again what the new process leaves."""
 
-    def lost(self, link: Link) -> None:
+    def on_link_lost(self, link: Link) -> None:
         self.links.remove(link)
 
 
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -40,32 +40,33 @@
     setattr(owner, name, hooked)
 
 def said(type):
-    return lambda self, message: isinstance(message, link.Said) and isinstance(message.what, type)
+    received = link.PeerMessageReceived
+    return lambda self, message: isinstance(message, received) and isinstance(message.message, type)
 
 def passed(self, message):
-    return isinstance(message, link.Leaving)
+    return isinstance(message, link.ClientReleased)
 
 {point}
 from harrieryoke.serve import serve
 raise SystemExit(serve())
 """
 NEW = {
-    "it has not asked yet": 'point(link, "meet", "before", 1)',
+    "it has not asked yet": 'point(link, "request_handover", "before", 1)',
     "what it is handed has come in part": 'point(link, "recv_fds", "after", 1)',
-    "all has come": 'point(link, "meet", "after", 1)',
-    "it has not learned yet": 'point(Upgrade, "learn", "before", 1)',
+    "all has come": 'point(link, "request_handover", "after", 1)',
+    "it has not learned yet": 'point(Upgrade, "restore_state", "before", 1)',
     "it has learned and does not accept": 'point(PlatformFront, "start", "before", 1)',
     "it accepts and has not said so": 'point(Upgrade, "start", "before", 1)',
-    "it has said so and can't be found yet": 'point(Upgrade, "read_from", "after", 1)',
+    "it has said so and can't be found yet": 'point(Upgrade, "start_reader", "after", 1)',
     "it serves": 'point(Upgrade, "start", "after", 1)',
-    "the first client is passed on": 'point(Upgrade, "receive", "before", 1, said(link.Client))',
-    "the first client is here": 'point(Upgrade, "receive", "after", 1, said(link.Client))',
+    "the first client is passed on": 'point(Upgrade, "receive", "before", 1, said(link.ClientTransfer))',
+    "the first client is here": 'point(Upgrade, "receive", "after", 1, said(link.ClientTransfer))',
 }
 OLD = {
     "it is asked": 'point(Upgrade, "receive", "before", 1, said(link.Hello))',
     "it looks for what it learned": 'point(Upgrade, "hand_over", "before", 1)',
-    "what it learned is packed": 'point(Link, "send", "before", 1)',
-    "all is handed over": 'point(Link, "send", "after", 1)',
+    "what it learned is packed": 'point(Link, "send_with_descriptor", "before", 1)',
+    "all is handed over": 'point(Link, "send_with_descriptor", "after", 1)',
     "it hears that another serves": 'point(Upgrade, "receive", "before", 1, said(link.Serving))',
     "it has told its front": 'point(Upgrade, "receive", "after", 1, said(link.Serving))',
     "it accepts no more": 'point(PlatformFront, "send_away", "before", 1, lambda front: front.yielded)',
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -21,7 +21,7 @@
 from harrieryoke.net.frames import REQUEST
 from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
-from harrieryoke.upgrade.link import at
+from harrieryoke.upgrade.link import short_socket_path
 
 from .rig import SETTINGS, Rig, workers
 
@@ -161,7 +161,7 @@
     strangers = []
     for n in range(12):
         strangers.append(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
-        with at(path) as name:
+        with short_socket_path(path) as name:
             strangers[-1].connect(name)
         strangers[-1].sendall(b"what is here?\n" if n % 2 else b"")
     gevent.sleep(0.3)
