Rename manage/ to admin/, Management to AdminServer

Cause: the operators' line protocol is an admin interface in the field; manage says neither who nor what. Change: package, AdminServer, parse_command, format_metrics, evict_idle, read_line and inner names; docstrings, with the reason in place of 'guards against'. RELAY_MANAGEMENT, the key management, the commands, log texts, metric names and the limits management_... are unchanged. No assertion of a test changed.

--- a/harrieryoke/manage/commands.py
+++ b/harrieryoke/admin/commands.py
@@ -1,4 +1,4 @@
-"""The calls that operators can make, how one is read, and how the figures are told; no I/O."""
+"""The admin commands, their parser, and the text form of the metrics; no I/O."""
 
 from __future__ import annotations
 
@@ -11,13 +11,14 @@
 
 
 class Command(msgspec.Struct, frozen=True):
-    """One call: its name, the names of its arguments, and what it does."""
+    """One admin command: its name, the names of its arguments, and what it does."""
 
     name: str
     arguments: tuple[str, ...]
     does: str
 
     def usage(self) -> str:
+        """Return the command's line as an operator writes it."""
         return " ".join((self.name, *self.arguments))
 
 
@@ -33,8 +34,8 @@
 }
 
 
-def read_call(line: bytes) -> tuple[Command, list[str]]:
-    """The call in a line without its line feed, and its arguments. Errors are OperatorErrors."""
+def parse_command(line: bytes) -> tuple[Command, list[str]]:
+    """Parse a line without its line feed into command and arguments. Raises OperatorError."""
     try:
         words = line.decode().split()
     except UnicodeDecodeError as error:
@@ -50,19 +51,19 @@
     return command, arguments
 
 
-def tell_figures(figures: Metrics) -> list[str]:
-    """A line for each figure; counts are since the start of the process."""
+def format_metrics(metrics: Metrics) -> list[str]:
+    """Return a line for each metric; counters are since the start of the process."""
     lines = []
-    for name, counted in figures.classes.items():
-        kind = msgspec.json.encode(name).decode()
-        for figure in (f.name for f in fields(ClassMetrics)):
-            value = getattr(counted, figure)
+    for name, counters in metrics.classes.items():
+        label = msgspec.json.encode(name).decode()
+        for field in fields(ClassMetrics):
+            value = getattr(counters, field.name)
             lines.append(
-                f"invoker_tries{{kind={kind}}} {value}"
-                if figure == "tries"
-                else f'invoker_responses{{kind={kind},result="{figure}"}} {value}'
+                f"invoker_tries{{kind={label}}} {value}"
+                if field.name == "tries"
+                else f'invoker_responses{{kind={label},result="{field.name}"}} {value}'
             )
     return lines + [
-        f"invoker_{name} {getattr(figures, name)}"
+        f"invoker_{name} {getattr(metrics, name)}"
         for name in ("active", "pool_size", "pool_ejected", "config_applied", "config_rejected")
     ]
--- a/harrieryoke/manage/server.py
+++ b/harrieryoke/admin/server.py
@@ -1,4 +1,4 @@
-"""The operators' listener: a connection carries one line, gets one answer, and is closed."""
+"""The admin server: a connection carries one command line, gets one answer, and is closed."""
 
 from __future__ import annotations
 
@@ -15,35 +15,36 @@
 from ..limits import Limits
 from ..log import Log
 from ..net.hostlist import Ban
-from .commands import COMMANDS, read_call, tell_figures
+from .commands import COMMANDS, format_metrics, parse_command
 
 
 class Caller(msgspec.Struct, eq=False):
-    """One connection. `heard` is when something last came from it. It is `idle` while the rest of its line,
-    or its leaving, is waited for."""
+    """One connection. `last_received` is when data last came from it. It is `idle` while the server waits for
+    the remainder of its line, or for it to close."""
 
     sock: socket.socket
-    heard: float = msgspec.field(default_factory=now_ms)
+    last_received: float = msgspec.field(default_factory=now_ms)
     idle: bool = False
 
 
-class Management:
-    """Each caller has a greenlet of its own and none waits for another, so that silent callers cost the
-    others nothing. Callers are bounded in number and in time."""
+class AdminServer:
+    """Serves each connection in a greenlet of its own, so that a silent caller does not delay the others.
+    Connections are bounded in number and in time."""
 
     def __init__(
         self,
-        where: tuple[str, int],
-        figures: Metrics,
+        address: tuple[str, int],
+        metrics: Metrics,
         serves: Callable[[], bool],
-        tell_list: Callable[[Ban], bool],
+        send_to_host_list: Callable[[Ban], bool],
         limits: Limits,
         log: Log,
     ) -> None:
-        self.where, self.figures, self.serves, self.limits, self.log = where, figures, serves, limits, log
-        self.tell_list = tell_list
+        self.address, self.metrics, self.serves = address, metrics, serves
+        self.limits, self.log = limits, log
+        self.send_to_host_list = send_to_host_list
         self.callers: dict[Caller, bool] = {}
-        self.doers: dict[str, Callable[..., list[str]]] = {
+        self.handlers: dict[str, Callable[..., list[str]]] = {
             "help": self.help,
             "ready": self.ready,
             "show-stat": self.show_stat,
@@ -52,50 +53,51 @@
         }
 
     def start(self) -> None:
-        """Listens from here on. Raises OSError where the address can't be had."""
-        # guards against create_server, which makes a socket that blocks the whole process
+        """Start to listen. Raises OSError if the address can't be bound."""
+        # create_server would make a socket that blocks the whole process
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind(self.where)
+        listening.bind(self.address)
         listening.listen(128)
-        self.figures.watched = True
+        self.metrics.watched = True
         spawn(self.log, "management listener", lambda: self.accept(listening))
 
     def accept(self, listening: socket.socket) -> None:
+        """Run the listener's greenlet."""
         while True:
             try:
                 sock, _ = listening.accept()
             except OSError as error:
-                # guards against running out of descriptors: the listener waits and goes on
+                # out of descriptors, for example: wait for some to be closed, then accept again
                 self.log("accept-failed", f"management: {error}")
                 gevent.sleep(0.05)
                 continue
             if len(self.callers) >= self.limits.management_callers:
-                self.make_room()
+                self.evict_idle()
             caller = Caller(sock)
             self.callers[caller] = True
             spawn(self.log, "management caller", lambda caller=caller: self.serve(caller))  # type: ignore[misc]
 
-    def make_room(self) -> None:
-        """The one that has said nothing for longest goes. Those whose call is being done are done soon."""
+    def evict_idle(self) -> None:
+        """Close the connection that has been silent for longest; those with a command at work end soon."""
         if not any(c.idle for c in self.callers):
-            # guards against closing a caller whose line has come along: all are heard first. Not for each new
-            # one: a busy process takes 15 ms for it, and who stands behind eighty of them would wait a second
+            # some may have a line waiting unread: let all run first. Not for each new connection: a busy
+            # process takes 15 ms for it, and whoever stands behind eighty of them would wait a second
             gevent.sleep(0)
         if idle := [c for c in self.callers if c.idle]:
-            silent = min(idle, key=lambda c: c.heard)
-            del self.callers[silent]
-            silent.sock.close()
+            longest_silent = min(idle, key=lambda c: c.last_received)
+            del self.callers[longest_silent]
+            longest_silent.sock.close()
 
     def serve(self, caller: Caller) -> None:
-        """One caller's greenlet."""
+        """Run one connection's greenlet."""
         try:
-            # guards the descriptors against callers that say nothing, or do not read, or do not close
+            # descriptors are bounded: callers that do not send, do not read or do not close are cut off
             with gevent.Timeout(self.limits.management_ms / 1000, TimeoutError), caller.sock as sock:
                 sock.sendall(self.answer(caller))
                 caller.idle = True
                 sock.shutdown(socket.SHUT_WR)
-                # guards against a reset, which would take the answer along: what else came is read
+                # closing with unread data would reset the connection and lose the answer: read the rest first
                 while sock.recv(4096):
                     pass
         except OSError:
@@ -104,55 +106,61 @@
             self.callers.pop(caller, None)
 
     def answer(self, caller: Caller) -> bytes:
+        """Read one command and return its answer, or an error line."""
         try:
-            command, arguments = read_call(self.line(caller))
-            lines = self.doers[command.name](*arguments)
+            command, arguments = parse_command(self.read_line(caller))
+            lines = self.handlers[command.name](*arguments)
         except OperatorError as error:
             lines = [f"error {error}"]
         return "".join(f"{line}\n" for line in lines).encode()
 
-    def line(self, caller: Caller) -> bytes:
-        """Its one line, without the line feed."""
-        data, most = b"", self.limits.management_line_bytes
+    def read_line(self, caller: Caller) -> bytes:
+        """Return the caller's line without the line feed. Raises OperatorError."""
+        data, max_bytes = b"", self.limits.management_line_bytes
         caller.idle = True
         while b"\n" not in data:
-            if len(data) > most:
-                raise CallTooLong(f"more than {most} bytes")
-            more = caller.sock.recv(most + 1 - len(data))
+            if len(data) > max_bytes:
+                raise CallTooLong(f"more than {max_bytes} bytes")
+            more = caller.sock.recv(max_bytes + 1 - len(data))
             if not more:
                 raise UnfinishedCall
-            data, caller.heard = data + more, now_ms()
+            data, caller.last_received = data + more, now_ms()
         caller.idle = False
         return data.partition(b"\n")[0]
 
-    # --- the calls ---
+    # --- the commands ---
 
     def help(self) -> list[str]:
+        """Return the commands and their arguments."""
         return ["done " + ", ".join(c.usage() for c in COMMANDS.values())]
 
     def ready(self) -> list[str]:
+        """Return whether this process serves. Raises NotReady."""
         if not self.serves():
             raise NotReady
         return ["done ready"]
 
     def show_stat(self) -> list[str]:
-        return [*tell_figures(self.figures), "end"]
+        """Return the metrics and the end mark."""
+        return [*format_metrics(self.metrics), "end"]
 
     def disable(self, id: str) -> list[str]:
+        """Drain a model host until it is enabled."""
         return self.ban(id, True)
 
     def enable(self, id: str) -> list[str]:
+        """Put a drained model host back into use."""
         return self.ban(id, False)
 
     def ban(self, id: str, on: bool) -> list[str]:
-        """The yes is said once it binds. What the list's actor has no time for may come to bind later."""
-        told: AsyncResult = AsyncResult()
-        if not self.tell_list(Ban(id, on, told)):
+        """Answer once the ban is in force. After Busy it may still come into force later."""
+        listed: AsyncResult = AsyncResult()
+        if not self.send_to_host_list(Ban(id, on, listed)):
             raise Busy
         try:
-            listed = told.get(timeout=self.limits.ban_ms / 1000)
+            known = listed.get(timeout=self.limits.ban_ms / 1000)
         except gevent.Timeout:
             raise Busy from None
-        if not listed:
+        if not known:
             raise UnknownServer(repr(id[:64]))
         return [f"done {id} is {'left out' if on else 'as the list has it'}"]
--- a/harrieryoke/manage/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The operators' listener: one line, one answer. Off unless an address is given for it."""
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -107,10 +107,10 @@
         """The operators' listener comes first: whoever waits until this process serves has an answer."""
         if self.config.management is None:
             return
-        from .manage.server import Management
+        from .admin.server import AdminServer
 
         try:
-            Management(
+            AdminServer(
                 self.config.management, self.core.figures, self.serves, self.hosts.tell, self.limits, self.log
             ).start()
         except OSError as error:
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -12,12 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from harrieryoke import interface as i
+from harrieryoke.admin.server import AdminServer
 from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Attempt, Call, Check, Listed, Order, Task
 from harrieryoke.errors import Busy
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
-from harrieryoke.manage.server import Management
 from harrieryoke.net.hostlist import DRAINS, Ban, BusEvent, BusSaid, HostListActor, Known, Server, Topology
 from harrieryoke.net.hostlist import worker_number as number
 
@@ -150,7 +150,7 @@
 def test_a_list_that_has_no_time_is_said_to_be_busy_within_a_second() -> None:
     stuck, full = opened([]), opened([], replace(Limits(), list_mailbox=0))
     for actor in (stuck, full):
-        manage = Management(("", 0), Metrics(), bool, actor.tell, Limits(), Quiet())
+        admin = AdminServer(("", 0), Metrics(), bool, actor.tell, Limits(), Quiet())
         with gevent.Timeout(0.95), pytest.raises(Busy):
-            manage.disable("a")
+            admin.disable("a")
     assert [len(actor.box) for actor in (stuck, full)] == [1, 0]
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from harrieryoke.admin.commands import parse_command
 from harrieryoke.errors import OperatorError
-from harrieryoke.manage.commands import read_call
 
 from .scenario import Scene, run
 
@@ -26,7 +26,7 @@
 def test_a_wrong_call_is_told_what_to_do(name: str) -> None:
     line, code = WRONG[name]
     with pytest.raises(OperatorError) as wrong:
-        read_call(line)
+        parse_command(line)
     assert str(wrong.value).startswith(f"{code} ") and "\n" not in str(wrong.value)
 
 
