--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -6,9 +6,9 @@
 
 from .. import interface as i
 from ..limits import Limits
-from .figures import Figures
+from .metrics import Metrics
 from .records import Attempt, Call, Front, HostPort, Task, TaskEnded, Watcher
-from .wheel import Wheel
+from .timing_wheel import TimingWheel
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.NO_CONNECTION, i.Outcome.NOT_SENT, i.Outcome.MISS)
 
@@ -29,7 +29,7 @@
 class RequestTable:
     """Owned by the module actor. Tasks that are out end here once, by their host or by their time."""
 
-    def __init__(self, settings: i.Settings, limits: Limits, figures: Figures) -> None:
+    def __init__(self, settings: i.Settings, limits: Limits, figures: Metrics) -> None:
         self.settings, self.limits, self.figures = settings, limits, figures
         self.watchers: list[Watcher] = []  # hear of each end
         self.entries: dict[int, Entry] = {}
@@ -37,7 +37,7 @@
         self.rids: dict[str, int] = {}
         self.tasks: dict[Task, HostPort | None] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those that are out, by request and number
-        self.times: Wheel[Task | Entry] = Wheel()  # when each task, and each answer, is due
+        self.times: TimingWheel[Task | Entry] = TimingWheel()  # when each task, and each answer, is due
         self.late: list[Entry] = []  # came to their time in this round
         self.serial = self.held = 0
         self.most = limits.body_share * limits.memory_mb * 2**20
@@ -98,7 +98,7 @@
         self.figures.open = len(self.entries)
 
     def tell_watchers(self, call: Call, how: str) -> None:
-        self.figures.ended(self.settings.classes[call.class_index].name, how)
+        self.figures.count_final_answer(self.settings.classes[call.class_index].name, how)
         for watcher in self.watchers:
             watcher.ended(call, how)
 
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -268,7 +268,7 @@
     def reject(self, id: int | None, method: str, error: BadRequest) -> None:
         self.log("bad-request", f"{self.name}: {error}")
         if method in self.maker.classes:
-            self.core.figures.ended(method, "refused" if error.code == REFUSED else "failed")
+            self.core.figures.count_final_answer(method, "refused" if error.code == REFUSED else "failed")
         self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
 
     def call(self, method: str, params: bytes, at: float) -> Call:
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -10,7 +10,7 @@
 
 from .. import interface as i
 from ..core.actor import Actor, now_ms, spawn
-from ..core.figures import Figures
+from ..core.metrics import Metrics
 from ..core.records import Attempt, Order, Task, TaskEnded
 from ..limits import Limits
 from ..log import Log
@@ -92,7 +92,7 @@
         limits: Limits,
         log: Log,
         report: Callable[[TaskEnded], object],
-        figures: Figures,
+        figures: Metrics,
     ) -> None:
         super().__init__(f"host {name}", limits.host_mailbox, log, reserve=limits.host_mailbox // 4)
         self.standing, self.limits, self.report = standing, limits, report
@@ -223,7 +223,7 @@
             link.backlog.popleft()
             link.used = now_ms()
             if isinstance(frame.task, Attempt):
-                self.figures.of(self.classes[frame.task.call.class_index].name).tries += 1
+                self.figures.for_class(self.classes[frame.task.call.class_index].name).tries += 1
 
     def prepare(self, link: Link, frame: Unsent) -> bool:
         """Directly before the first byte of a frame: what is not wanted any more is left out."""
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -24,7 +24,7 @@
 from .net.hostlist import HostListActor
 from .net.platform import PlatformFront, StopListening
 from .parts import CouncilPart, Parts
-from .retune import changes, lost, merge
+from .reload import describe_changes, find_missing_key, merge
 
 if TYPE_CHECKING:
     from .upgrade.link import Upgrade
@@ -75,7 +75,7 @@
         self.core.start()
         self.bus.start()
         if self.upgrade is not None:
-            self.upgrade.learn()
+            self.upgrade.restore_state()
         try:
             self.front.start(listening, shared=self.upgrade is not None)
         except OSError as error:
@@ -108,10 +108,10 @@
         """The operators' listener comes first: whoever waits until this process serves has an answer."""
         if self.config.management is None:
             return
-        from .manage.server import Management
+        from .admin.server import AdminServer
 
         try:
-            Management(
+            AdminServer(
                 self.config.management, self.core.figures, self.serves, self.hosts.tell, self.limits, self.log
             ).start()
         except OSError as error:
@@ -131,7 +131,7 @@
 
         path = folder / "harrieryoke-{}-{}".format(*self.config.listen)
         self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log)
-        return self.upgrade.meet()
+        return self.upgrade.take_over()
 
     def run(self) -> int:
         """Serves until SIGTERM or SIGINT, then answers all that was taken."""
@@ -172,7 +172,7 @@
         if self.stop.is_set():
             raise ConfigError("the process is stopping")
         old = self.config
-        if (key := lost([old.told], new.told)) is not None:
+        if (key := find_missing_key([old.told], new.told)) is not None:
             raise ConfigError(key)
         try:
             settings = merge(old.settings, new.settings, self.limits.class_slots)
@@ -193,7 +193,7 @@
             self.parts.ledger.reload()
         stays = [key for key in RESTART if getattr(new, key) != getattr(old, key)]
         stays += ["settings.discovery"] if new.settings.list_on_request != settings.list_on_request else []
-        told = [changes(old.settings, settings)]
+        told = [describe_changes(old.settings, settings)]
         told += [f"a restart is needed for: {', '.join(stays)}"] if stays else []
         self.config = replace(old, settings=settings, bus=new.bus, told=new.told)
         return "; ".join(filter(None, told))
@@ -202,7 +202,7 @@
         """Whoever a call comes to knows its class by then: the hosts at once, the parts on its way through
         mailboxes that keep the order, and last the fronts, which name the new classes from here."""
         self.hosts.retune(settings)
-        self.core.figures.know(settings.live())
+        self.core.figures.add_classes(settings.live())
         for part in (self.core, self.gate, self.parts.door, self.parts.ledger):
             if part is not None:
                 part.push(Retuned(settings))
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -13,7 +13,7 @@
 
 from harrieryoke import interface as i
 from harrieryoke.core.calls import CallMaker
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Call, Front
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
@@ -41,7 +41,7 @@
     """In the module's place: `offer` waits while the gate is closed; `answers`: each call at once."""
 
     def __init__(self) -> None:
-        self.figures, self.gate, self.answers = Figures(["weight-read"]), Event(), False
+        self.figures, self.gate, self.answers = Metrics(["weight-read"]), Event(), False
         self.gate.set()
         self.offered: dict[int, Call] = {}
         self.withdrawn: list[int] = []
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -10,7 +10,7 @@
 import pytest
 
 from harrieryoke import interface as i
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Listed
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
@@ -53,7 +53,7 @@
     def __init__(self) -> None:
         self.log, self.module, self.ports = Lines(), dict[int, i.WorkerEntry](), dict[int, Any]()
         told = self.tell
-        self.actor = HostListActor(SETTINGS, Limits(), self.log, told, lambda ended: None, Figures())
+        self.actor = HostListActor(SETTINGS, Limits(), self.log, told, lambda ended: None, Metrics())
         self.offset = 0
 
     def tell(self, listed: Listed) -> None:
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 
 from harrieryoke import interface as i
-from harrieryoke.core.figures import Figures
+from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Attempt, Call, Order, Task, TaskEnded
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
@@ -72,7 +72,7 @@
         self.dialling: Callable[[], object] = lambda: None
         where = Standing(self.listening.getsockname())
         limits = limits or Limits(write_ms=20000.0, silent_ms=20000.0)
-        super().__init__("h", where, KINDS, limits, Log(), self.note, Figures())
+        super().__init__("h", where, KINDS, limits, Log(), self.note, Metrics())
 
     def note(self, ended: TaskEnded) -> None:
         self.ends.append((ended.task, ended.outcome))
@@ -108,7 +108,7 @@
         return large, link
 
     def tries(self) -> int:
-        return self.figures.of("weight-read").tries
+        return self.figures.for_class("weight-read").tries
 
 
 @pytest.fixture
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -17,7 +17,7 @@
 from harrieryoke.checks import ConfigError
 from harrieryoke.config import Config, read_config
 from harrieryoke.limits import Limits
-from harrieryoke.retune import merge
+from harrieryoke.reload import merge
 
 from .scenario import ROOT, SETTINGS, Scene, run
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,12 +16,12 @@
 
 from harrieryoke import interface as i
 from harrieryoke.brain import Router
-from harrieryoke.carry import CarryError, pack, restore, unpack
 from harrieryoke.core.actor import now_ms
 from harrieryoke.lab.world import ROOT, World, free_port
 from harrieryoke.net.frames import REQUEST
+from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
-from harrieryoke.upgrade.link import at
+from harrieryoke.upgrade.link import short_socket_path
 
 from .rig import SETTINGS, Rig, workers
 
@@ -161,7 +161,7 @@
     strangers = []
     for n in range(12):
         strangers.append(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
-        with at(path) as name:
+        with short_socket_path(path) as name:
             strangers[-1].connect(name)
         strangers[-1].sendall(b"what is here?\n" if n % 2 else b"")
     gevent.sleep(0.3)
@@ -282,7 +282,7 @@
 )
 def test_what_was_handed_on_and_is_damaged_is_refused_whole(spoil: object) -> None:
     data = pack(learned().router)
-    with pytest.raises(CarryError):
+    with pytest.raises(StateTransferError):
         unpack(spoil(data))  # type: ignore[operator]
 
 
