Take answers longer than a request, and end by the present classes alone

Change: Limits.answer_bytes (256 KiB) bounds answers; what may wait for a client that reads slowly has room for some of them; only live classes count for the end. Seen: with body_bytes in place of answer_bytes the case 'an answer may be longer than any request' fails (no result); with all classes counted the case 'a class that was dropped does not put off the end' fails.

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -12,7 +12,8 @@
 
     sockets: int = 1024
     memory_mb: int = 192
-    body_bytes: int = 16 * 1024
+    body_bytes: int = 16 * 1024  # of a request
+    answer_bytes: int = 256 * 1024  # of a model host's answer, which may be longer than a request
     line_bytes: int = 64 * 1024
     header_bytes: int = 16 * 1024
     open_per_connection: int = 32
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -34,6 +34,7 @@
 HANG_UP_CHECK_MS = 20.0  # while the mailbox is full, the reader looks this often whether the client has gone
 UNSENT_MESSAGES = 256
 ANSWER_HEAD_BYTES = 256  # of an answer, beside its body
+LONG_ANSWERS = 4  # that may wait at once for a client that reads slowly
 
 # the original: where the standard library is patched for gevent, its stand-in does not know POLLRDHUP
 poll = monkey.get_original("select", "poll")
@@ -103,8 +104,9 @@
         self.unposted: list[bytes] = []  # whole lines that are not in the mailbox yet, the newest first
         self.used = now_ms()  # the last sign of life, or the first byte of a line that is not yet whole
         self.asked = False  # a whole line has come
-        # as much as the answers to all requests that may be open at once
-        most_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_HEAD_BYTES)
+        # usual answers to all requests that may be open at once, and some long ones among them
+        usual_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_HEAD_BYTES)
+        most_bytes = usual_bytes + LONG_ANSWERS * limits.answer_bytes * 4 // 3
         self.outgoing = Outgoing(
             sock, self.name, UNSENT_MESSAGES, most_bytes, log, lambda: self.tell(AllSent()), self.lost
         )
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -344,7 +344,7 @@
         # guards against a host that vanished with its link open: what it does not acknowledge ends the link
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
         sock.settimeout(self.limits.write_ms / 1000)
-        link = Link(sock, frames.Decoder(self.limits.body_bytes), used=now_ms())
+        link = Link(sock, frames.Decoder(self.limits.answer_bytes), used=now_ms())
         self.links.append(link)
         spawn(self.log, f"{self.name} reader", lambda: self.read(link))
         return link
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -218,7 +218,9 @@
     def wind_down(self) -> int:
         """New connections go on coming for a while after SIGTERM: they are served too."""
         began = now_ms()
-        longest = min(3000.0, max(c.deadline for c in self.config.settings.classes))
+        settings = self.config.settings
+        # a class that a reload has dropped does not put off the end: the kill comes by the present settings
+        longest = min(3000.0, max(settings.classes[n].deadline for n in settings.live().values()))
         by = began + min(self.limits.stop_within_ms, longest + 500.0)
         self.log("stopping", f"all is answered within {by - began:.0f} ms")
         self.core.push(Stopping(by))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,12 +19,18 @@
 from .scenario import Scene, run
 
 HUGE = "A" * 40000
+LONG = "z" * 230000  # bytes of an answer, far more than a request may have
 ONE = {
     "a body comes back unchanged and fields are passed on": """
         send c1 call 1 harvest-log token=k-1 body=hello
         expect h1 request sort=harvest-log asset=7f3a9c21e0b4d655 op=k-1 body=hello
         send h1 ok n=w body='as it was, and "more"'
         expect c1 1 result 'as it was, and "more"'""",
+    "an answer may be longer than any request": f"""
+        send c1 call 1 weight-read body=x
+        expect h1 request body=x
+        send h1 ok n=w body={LONG}
+        expect c1 1 result {LONG}""",
     "answers come in any order": """
         send c1 call 1 weight-read body=a
         expect h1 request body=a
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -134,6 +134,11 @@
         send config name=n7
         {told(lambda s: s.update(period=3, discovery="on_request"))} other settings
         wait needed for: name, settings.discovery""",
+    "a class that was dropped does not put off the end": f"""
+        {told(lambda s: s.update(classes=[NEW | {"hard-limit": 900}]))}
+        send node TERM
+        wait all is answered within 1400 ms
+        expect node exit 0""",
     "while it stops nothing is taken": f"""
         send c1 call 1 weight-read
         expect h1 request
