Name neutral classes, tenants and zones in the laboratory and the plug-ins' bench

Cause: lab/, plugins/bench.py and plugins/commands.py named the classes, tenants, kinds and zones of one installation. Change: neutral names there.

--- a/harrieryoke/lab/clients.py
+++ b/harrieryoke/lab/clients.py
@@ -147,7 +147,7 @@
         tenant = self.rng.choices(self.tenants, [t.part for t in self.tenants])[0]
         rank = min(int(self.rng.paretovariate(1.0)), tenant.functions) - 1
         keyed = self.rng.random() < 0.21
-        kind, longest = ("harvest-log", 3000.0) if keyed else ("weight-read", 4000.0)
+        kind, longest = ("sample-write", 3000.0) if keyed else ("sample-read", 4000.0)
         number = self.tenants.index(tenant) + 1
         source = f"127.0.{number}.{1 + self.rng.randrange(tenant.clients)}" if tenant.clients else "127.0.0.1"
         if self.away.get(source, 0.0) > now_ms():
@@ -176,10 +176,10 @@
         """So many clients, each at an address of its own, ask once within so many ms; who is told when to
         come back comes then, once."""
         tenant = self.tenants[0]
-        function = function_of(tenant.name, "weight-read", 0)
+        function = function_of(tenant.name, "sample-read", 0)
 
         def ask(source: str, hinted: bool) -> None:
-            call = Sent(f"{self.rng.getrandbits(64):016x}", tenant.name, "weight-read", now_ms(), 4000.0)
+            call = Sent(f"{self.rng.getrandbits(64):016x}", tenant.name, "sample-read", now_ms(), 4000.0)
             call.hinted = hinted
 
             def again(refused: Sent) -> None:
--- a/harrieryoke/lab/plugins.py
+++ b/harrieryoke/lab/plugins.py
@@ -15,7 +15,7 @@
 from .hosts import Shape
 from .world import World, children
 
-BOUND = "coop-sahel"  # the tenant whose calls the plug-ins see
+BOUND = "tenant-b"  # the tenant whose calls the plug-ins see
 LOOP = "    for i in range(1000000000):\n        for j in range(1000000000):\n            pass\n"
 OK = "def on_request(r):\n    return None\n"
 WAT = """(module
@@ -23,11 +23,11 @@
   (import "harrieryoke" "refuse" (func $refuse (param f64)))
   (import "harrieryoke" "log" (func $log (param i32 i32)))
   (memory (export "memory") 1)
-  (data (i32.const 0) "zone:hall-b")
+  (data (i32.const 0) "zone:zone-b")
   (data (i32.const 64) "\\ff\\fe\\fd")
   (func (export "on_request") (result i32) %s))
 """
-BENIGN = "    return {'avoid': ['zone:hall-b'], 'label': r['class']}\n"
+BENIGN = "    return {'avoid': ['zone:zone-b'], 'label': r['class']}\n"
 WARM = (
     "def on_request(r):\n    n = int(state_get('n') or '0') + 16\n    state_put('n', str(n % 10000))\n"
     "    return {'warm': [('0000000000000000' + str(n + k))[-16:] for k in range(16)]}\n"
@@ -69,11 +69,11 @@
     "recurses": ("star", "def on_request(r):\n    return on_request(r)\n"),
     "floods-calls": ("star", "def on_request(r):\n    for i in range(1000000):\n        state_get('x')\n"),
     "floods-log": ("star", "def on_request(r):\n    for i in range(200):\n        log('x' * 10000)\n"),
-    "avoids-all": ("star", "def on_request(r):\n    return {'avoid': ['zone:hall-a', 'zone:hall-b']}\n"),
+    "avoids-all": ("star", "def on_request(r):\n    return {'avoid': ['zone:zone-a', 'zone:zone-b']}\n"),
     "prefers-gone": ("star", GONE),
     "warms-10000": ("star", WARM),
     "refuses-all": ("star", "def on_request(r):\n    return 'refuse'\n"),
-    "other-tenant": ("star", "def on_request(r):\n    return {'tenant': 'coop-kef', 'refuse_ms': 1}\n"),
+    "other-tenant": ("star", "def on_request(r):\n    return {'tenant': 'tenant-a', 'refuse_ms': 1}\n"),
     "killed": ("star", "def on_request(r):\n" + BENIGN),
     "calm-none": None,
     "calm-wasm": ("wat", WAT % "(call $avoid (i32.const 0) (i32.const 11)) (i32.const 0)"),
--- a/harrieryoke/lab/rounds.py
+++ b/harrieryoke/lab/rounds.py
@@ -19,8 +19,8 @@
 
 SETTINGS = i.Settings(
     (
-        i.RequestClass("weight-read", 1000, 4000, 2, 0.2, i.Effect.SAFE),
-        i.RequestClass("harvest-log", 750, 3000, 3, 0.2, i.Effect.KEYED, i.Group.CELL, 6000),
+        i.RequestClass("sample-read", 1000, 4000, 2, 0.2, i.Effect.SAFE),
+        i.RequestClass("sample-write", 750, 3000, 3, 0.2, i.Effect.KEYED, i.Group.CELL, 6000),
     ),
     tick=2,
     max_attempts=5,
--- a/harrieryoke/plugins/commands.py
+++ b/harrieryoke/plugins/commands.py
@@ -27,8 +27,8 @@
         "plugin.star",
         '''\
 def on_request(request):
-    """Keeps calls away from hall-b where there is a choice."""
-    return {"avoid": ["zone:hall-b"], "label": request["class"]}
+    """Keeps calls away from zone-b where there is a choice."""
+    return {"avoid": ["zone:zone-b"], "label": request["class"]}
 ''',
     ),
     "wasm": (
@@ -37,8 +37,8 @@
 (module
   (import "harrieryoke" "avoid" (func $avoid (param i32 i32)))
   (memory (export "memory") 1)
-  (data (i32.const 0) "zone:hall-b")
-  ;; Keeps calls away from hall-b where there is a choice.
+  (data (i32.const 0) "zone:zone-b")
+  ;; Keeps calls away from zone-b where there is a choice.
   (func (export "on_request") (result i32)
     (call $avoid (i32.const 0) (i32.const 11))
     (i32.const 0)))
