Give up a watch whose lines never end, and fetch anew a bus that numbers from 1 again

Cause (net/bus_follower.py): `read` had only the socket's time-out, which counts single reads, so that a byte now and then kept a dead watch alive; `line` set the pause back at every line, so that a bus that sends its number and ends was dialled every 50 ms for ever; it ignored all events of a bus whose numbers lay below our last event; and RecursionError on a deeply nested line is no ValueError and ended the actor.

Change: a LineBuffer gives whole lines `bus_quiet_ms`, and a line that has begun `bus_line_ms` (4000) from its first byte on. The pause grows up to its bound until an event is new or the connection has stood for `bus_quiet_ms`. Without an event nothing is taken; without a whole one only named hosts change. A loss or a move in between begins at 0 again.

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -36,7 +36,11 @@
     timer_slack_ms: float = 5.0
     answer_margin_ms: float = 8.0
     bus_dial_ms: float = 500.0
-    bus_quiet_ms: float = 2000.0
+    bus_quiet_ms: float = 2000.0  # between whole lines; heartbeats come every second
+    bus_line_ms: float = 4000.0  # from the first byte of a line to its end, as lists may be large
+    bus_anew_ms: float = (
+        7000.0  # what the bus has to tell counts as told by then; a number still lower is a new count
+    )
     bus_backoff_ms: float = 50.0
     bus_backoff_most_ms: float = 250.0
     stop_accepting_ms: float = 650.0
--- a/harrieryoke/net/bus_follower.py
+++ b/harrieryoke/net/bus_follower.py
@@ -7,23 +7,25 @@
 from typing import Any
 
 import gevent
-import msgspec
 from gevent import socket
 
-from ..core.actor import Actor, spawn
+from ..core.actor import Actor, now_ms, spawn
 from ..limits import Limits
 from ..log import Log
-from .hostlist_model import BusEvent, BusSaid
+from .hostlist_model import BusSaid, ListReplaced, ListUpdate, Snapshot, decode_line, read_update
 
+RECV_BYTES = 65536
+LONGEST_LINE = 64  # times `Limits.line_bytes`
 
-@dataclass(slots=True)
+
+@dataclass(frozen=True, slots=True)
 class Moved:
     """The bus has another address now."""
 
     where: tuple[str, int]
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Told:
     """A line of the bus, on the connection of that number."""
 
@@ -31,31 +33,86 @@
     line: bytes
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Ended:
+    """The connection of that number is over."""
+
     connection: int
     reason: str
 
 
+class LineBuffer:
+    """Splits a stream into lines and says until when the next bytes have to come. Time-outs of single reads
+    are not enough: a peer that sends a byte now and then would never be taken as lost."""
+
+    def __init__(self, limits: Limits, now: float) -> None:
+        self.limits, self.partial = limits, b""
+        self.heard = now  # when the last whole line came
+        self.begun = now  # when the first byte of the line that has begun came
+
+    def feed(self, data: bytes, now: float) -> list[bytes]:
+        """The lines that are whole now, without blank ones. Raises ValueError for a line without end."""
+        *whole, partial = (self.partial + data).split(b"\n")
+        if whole or not self.partial:
+            self.begun = now
+        self.partial = partial
+        lines = [line for line in whole if line.strip()]
+        if lines:
+            self.heard = now
+        elif now > self.deadline():
+            raise ValueError("no whole line in time")
+        if len(partial) > LONGEST_LINE * self.limits.line_bytes:
+            raise ValueError("a line without end")
+        return lines
+
+    def deadline(self) -> float:
+        """When the next whole line has to be there."""
+        if self.partial:
+            return self.begun + self.limits.bus_line_ms
+        return self.heard + self.limits.bus_quiet_ms
+
+    def resume(self, now: float) -> None:
+        """Waiting for room in the follower's mailbox is not the bus's silence."""
+        self.heard = self.begun = now
+
+    def patience_ms(self, now: float) -> float:
+        """How long the next read may take."""
+        return max(1.0, min(self.deadline() - now, self.limits.bus_quiet_ms))
+
+
 class BusFollower(Actor):
     """Follows the event bus from the last event it has, over and over, with growing pauses. Each connection
-    has a reader of its own, so that a move to another address waits for no dial and no silence."""
+    has a reader of its own, so that a move to another address waits for no dial and no silence.
+
+    A bus whose number stays below the last event has numbered its events anew. They are then fetched from
+    the first one on into `snapshot`, and the list takes their net result at once."""
 
     def __init__(
-        self, where: tuple[str, int], last: int, limits: Limits, log: Log, tell: Callable[[BusSaid], Any]
+        self,
+        where: tuple[str, int],
+        last: int,
+        limits: Limits,
+        log: Log,
+        tell: Callable[[BusSaid | ListReplaced], Any],
     ) -> None:
         super().__init__("event bus", limits.list_mailbox, log, reserve=limits.list_mailbox // 4)
         self.where, self.last, self.limits, self.tell_list = where, last, limits, tell
-        self.decoder: msgspec.json.Decoder[BusEvent | int] = msgspec.json.Decoder(BusEvent | int)
         self.connection = 0
         self.reader: gevent.Greenlet | None = None
         self.pause = limits.bus_backoff_ms
+        self.steady_at = (
+            0.0  # from then on a connection has stood long enough to begin with short pauses again
+        )
+        self.behind_since: float | None = None  # when the bus first named a number below `last`
+        self.snapshot: Snapshot | None = None  # what has been fetched of a bus that numbers anew
         self.unreadable = self.skipped = -1  # the event after which a line could not be read, or was left out
 
     def move(self, where: tuple[str, int]) -> bool:
+        """Follows the bus at another address, once the actor comes to it."""
         return self.push(Moved(where))
 
     def run(self) -> None:
+        """The actor's greenlet."""
         self.connect(0.0)
         super().run()
 
@@ -64,6 +121,10 @@
         if self.reader is not None:
             self.reader.kill(block=False)
         self.connection += 1
+        self.steady_at = now_ms() + pause + self.limits.bus_quiet_ms
+        self.behind_since = None
+        if self.snapshot is not None:
+            self.snapshot, self.last = Snapshot(), 0
         number, where, last = self.connection, self.where, self.last
         self.reader = spawn(
             self.log,
@@ -73,26 +134,35 @@
         )
 
     def read(self, number: int, where: tuple[str, int], last: int, pause: float) -> None:
-        """One connection's life. A bus that keeps quiet for longer than its second is taken as lost."""
+        """One connection's life."""
         try:
             gevent.sleep(pause / 1000)
             with socket.create_connection(where, self.limits.bus_dial_ms / 1000) as sock:
-                # guards against a bus that stops while its connection stays open
                 sock.settimeout(self.limits.bus_quiet_ms / 1000)
                 sock.sendall(b"from %d\n" % last)
-                rest = b""
-                while data := sock.recv(65536):
-                    *lines, rest = (rest + data).split(b"\n")
-                    if len(rest) > 64 * self.limits.line_bytes:
-                        raise ValueError("a line without end")
-                    for line in filter(bytes.strip, lines):
-                        self.push(Told(number, line))
+                self.read_lines(number, sock)
             reason = "closed by the bus"
         except (OSError, ValueError) as error:
             reason = str(error)
         self.push(Ended(number, reason))
 
+    def read_lines(self, number: int, sock: socket.socket) -> None:
+        """Until the bus closes. Raises TimeoutError when it keeps quiet for longer than its second, and
+        ValueError when a line does not end."""
+        buffer = LineBuffer(self.limits, now_ms())
+        while True:
+            sock.settimeout(buffer.patience_ms(now_ms()) / 1000)
+            data = sock.recv(RECV_BYTES)
+            if not data:
+                return
+            lines = buffer.feed(data, now_ms())
+            for line in lines:
+                self.push(Told(number, line))
+            if lines:
+                buffer.resume(now_ms())
+
     def receive(self, message: Any) -> None:
+        """One message of the mailbox; those of an earlier connection are dropped."""
         match message:
             case Moved(where) if where != self.where:
                 self.log("bus-moved", f"to {where[0]}:{where[1]}, from event {self.last} on")
@@ -101,31 +171,70 @@
             case Told(number, line) if number == self.connection:
                 try:
                     self.line(line)
-                except ValueError as error:  # msgspec's are among them
+                except ValueError as error:
                     self.lost(str(error))
             case Ended(number, reason) if number == self.connection:
                 self.lost(reason)
 
     def lost(self, reason: str) -> None:
+        """The connection is given up and made anew, after a pause that grows up to its bound."""
         self.log("bus-lost", f"after event {self.last}: {reason}")
-        self.connect(self.pause)
-        self.pause = min(2 * self.pause, self.limits.bus_backoff_most_ms)
+        pause = self.pause
+        self.pause = min(2 * pause, self.limits.bus_backoff_most_ms)
+        self.connect(pause)
 
     def line(self, line: bytes) -> None:
+        """A line of this connection. Raises ValueError where the connection can't be trusted further."""
         try:
-            said = self.decoder.decode(line)
-        except ValueError:
+            said = decode_line(line)
+        except ValueError as error:
             if self.unreadable != self.last:
                 self.unreadable = self.last  # it may have been spoilt on its way: asked for once more
                 raise
-            # guards against asking for the same event for ever: nothing behind it would be heard
+            # asked for again and again, it would keep all events behind it from being heard
             self.skipped = self.last
-            return self.log("bad-event", f"after event {self.last}, and again: {line[:200]!r}")
-        offset = said if isinstance(said, int) else said.offset
-        if isinstance(said, BusEvent) and offset > self.last:
-            self.tell_list(BusSaid(said))
-        elif offset > self.last and self.skipped != self.last:
-            raise ValueError(f"the bus is at {offset}, and its events have not come")
-        if offset > self.last:
-            self.last = offset
+            return self.log("bad-event", f"after event {self.last}, and again: {error}: {line[:200]!r}")
+        if isinstance(said, int):
+            self.number(said)
+        else:
+            self.event(said)
+        if now_ms() >= self.steady_at:
+            self.pause = self.limits.bus_backoff_ms
+
+    def event(self, said: BusSaid) -> None:
+        """One event; an old or repeated one changes nothing."""
+        offset = said.event.offset
+        if offset <= self.last:
+            return
+        self.last, self.behind_since = offset, None
+        if self.snapshot is not None:
+            update = read_update(said)
+            return self.snapshot.take(update) if update is not None else None
         self.pause = self.limits.bus_backoff_ms
+        self.tell_list(said)
+
+    def number(self, number: int) -> None:
+        """The heartbeat: the number of the bus's last event."""
+        if number > self.last:
+            if self.skipped != self.last:
+                raise ValueError(f"the bus is at {number}, and its events have not come")
+            self.last = number
+        if self.snapshot is not None and number > 0:
+            self.last = number  # also where an event came under a higher offset: the bus's own number counts
+            return self.finish_snapshot(self.snapshot.update(number))
+        if number >= self.last:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now_ms()
+        elif now_ms() - self.behind_since > self.limits.bus_anew_ms:
+            self.log(
+                "bus-anew", f"the bus is at {number}, below event {self.last}: its events are fetched anew"
+            )
+            self.snapshot = Snapshot()
+            self.connect(0.0)
+
+    def finish_snapshot(self, update: ListUpdate) -> None:
+        """All events of a bus that numbers anew are there."""
+        self.snapshot = None
+        self.log("bus-anew", f"{len(update.servers)} model hosts as of event {update.offset}")
+        self.tell_list(ListReplaced(update))
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -1,24 +1,33 @@
-"""Discovery where events cross: spoilt events, and hosts that change places within one event."""
+"""Discovery where events cross: a watch that is lost in every way, a bus that numbers anew, spoilt events and
+hosts that change places within one event."""
 
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import gevent
 import pytest
+from gevent import socket
+from gevent.event import Event
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from harrieryoke import interface as i
 from harrieryoke.core.figures import Figures
 from harrieryoke.core.records import Listed
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
+from harrieryoke.net import bus_follower
+from harrieryoke.net.bus_follower import BusFollower, LineBuffer, Moved, Told
 from harrieryoke.net.hostlist import BusEvent, BusSaid, HostListActor, Known, Topology
-from harrieryoke.net.hostlist_model import Server, decode_line, worker_number
+from harrieryoke.net.hostlist_model import ListReplaced, Server, decode_line, worker_number
 
 from .rig import SETTINGS
 
+PATIENCE = 20.0  # seconds until a step that should come soon is held to have failed
 UP, DRAINING, GONE = i.Drain.UP, i.Drain.DRAINING, i.Drain.GONE
 
 
@@ -44,6 +53,258 @@
     return json.dumps({"offset": offset, "topology": {"full": full, "servers": servers}}).encode() + b"\n"
 
 
+# --- the watch ---
+
+
+class Bus:
+    """The event bus as the test plays it."""
+
+    def __init__(self) -> None:
+        self.listening = socket.socket()
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen()
+        self.listening.settimeout(PATIENCE)
+        self.conn: Any = None
+
+    def asked(self) -> str:
+        """Takes the next connection; what it asks for."""
+        self.conn, _ = self.listening.accept()
+        self.conn.settimeout(PATIENCE)
+        asked: bytes = self.conn.makefile("rb").readline()
+        return asked.decode().strip()
+
+    def say_until_lost(self, data: bytes, every_s: float) -> None:
+        """The same again and again, until the follower closes."""
+        with pytest.raises(OSError), gevent.Timeout(PATIENCE):
+            while True:
+                self.conn.sendall(data)
+                gevent.sleep(every_s)
+
+    def ended(self) -> bool:
+        try:
+            return not self.conn.recv(1)
+        except ConnectionResetError:
+            return True
+
+
+class Watch:
+    """A follower between a bus and a list that takes events only while `gate` is open."""
+
+    def __init__(self, last: int = 1, **limits: Any) -> None:
+        usual: dict[str, Any] = {"bus_backoff_ms": 10.0, "bus_quiet_ms": 5000.0} | limits
+        self.bus, self.told, self.log, self.gate = Bus(), list[BusSaid | ListReplaced](), Lines(), Event()
+        self.gate.set()
+        where = self.bus.listening.getsockname()[:2]
+        self.follower = BusFollower(where, last, replace(Limits(), **usual), self.log, self.tell)
+        self.follower.start()
+
+    def tell(self, said: BusSaid | ListReplaced) -> None:
+        self.told.append(said)
+        self.gate.wait()
+
+    def until(self, seen: Callable[[], object]) -> None:
+        with gevent.Timeout(PATIENCE):
+            while not seen():
+                gevent.sleep(0.002)
+
+    def offsets(self) -> list[int]:
+        return [s.event.offset if isinstance(s, BusSaid) else -s.update.offset for s in self.told]
+
+    def end(self) -> None:
+        for greenlet in (self.follower.reader, self.follower.greenlet):
+            if greenlet is not None:
+                greenlet.kill(block=False)
+        self.bus.listening.close()
+
+
+@pytest.fixture
+def watch() -> Iterator[Callable[..., Watch]]:
+    made: list[Watch] = []
+
+    def make(*args: Any, **limits: Any) -> Watch:
+        made.append(Watch(*args, **limits))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.end()
+
+
+@pytest.mark.parametrize("drip", [b"1", b"\n", b" \n", b"{"])
+def test_a_watch_that_sends_bytes_and_no_whole_line_is_made_anew(
+    watch: Callable[..., Watch], drip: bytes
+) -> None:
+    w = watch(bus_quiet_ms=300.0, bus_line_ms=600.0)
+    assert w.bus.asked() == "from 1"
+    w.bus.say_until_lost(drip, 0.05)
+    assert w.bus.asked() == "from 1" and w.told == []
+
+
+def test_blank_lines_that_are_always_there_to_be_read_keep_no_watch_alive(
+    watch: Callable[..., Watch],
+) -> None:
+    w = watch(bus_quiet_ms=300.0)
+    assert w.bus.asked() == "from 1"
+    w.bus.say_until_lost(b"\n" * 4096, 0)
+    assert w.bus.asked() == "from 1" and w.told == []
+
+
+def test_a_read_waits_no_longer_than_until_the_line_is_due() -> None:
+    buffer = LineBuffer(Limits(bus_quiet_ms=2000.0, bus_line_ms=4000.0), 0.0)
+    assert buffer.feed(b"1\n\n", 500.0) == [b"1"] and buffer.patience_ms(700.0) == 1800.0
+    assert buffer.feed(b"{", 2000.0) == [] and buffer.patience_ms(2500.0) == 2000.0
+    assert buffer.feed(b"}", 5900.0) == [] and buffer.patience_ms(5900.0) == 100.0
+    with pytest.raises(ValueError, match="no whole line in time"):
+        buffer.feed(b" ", 6001.0)
+
+
+def test_a_long_line_may_take_longer_than_a_heartbeat(watch: Callable[..., Watch]) -> None:
+    w = watch(bus_quiet_ms=800.0, bus_line_ms=60_000.0)
+    assert w.bus.asked() == "from 1"
+    line = event(2, entry("h1", 1))
+    for n in range(len(line)):
+        w.bus.conn.sendall(line[n : n + 1])
+        gevent.sleep(1.2 / len(line))
+    w.until(lambda: w.offsets() == [2])
+    assert not w.log.of("bus-lost")
+
+
+@pytest.mark.parametrize(
+    "said, closes", [(b"", True), (b"1\n", True), (b"9\n", False), (b"", False), (b"1\n", False)]
+)
+def test_a_watch_that_is_lost_again_and_again_is_made_anew_with_growing_bounded_pauses(
+    watch: Callable[..., Watch], said: bytes, closes: bool
+) -> None:
+    """It ends, names events that never come, or falls silent with its connection open."""
+    w = watch(bus_quiet_ms=60_000.0 if closes or said == b"9\n" else 200.0, bus_backoff_most_ms=60.0)
+    pauses = []
+    for _ in range(5):
+        assert w.bus.asked() == "from 1"
+        pauses.append(w.follower.pause)
+        w.bus.conn.sendall(said)
+        if closes:
+            w.bus.conn.close()
+    assert pauses == [10.0, 20.0, 40.0, 60.0, 60.0]
+
+
+def test_a_watch_that_falls_silent_late_is_followed_from_its_last_event(watch: Callable[..., Watch]) -> None:
+    w = watch(bus_quiet_ms=300.0)
+    assert w.bus.asked() == "from 1"
+    w.bus.conn.sendall(event(2, entry("h1", 1)) + b"2\n")
+    assert w.bus.ended() and w.bus.asked() == "from 2" and w.offsets() == [2]
+
+
+# --- a move ---
+
+
+def test_a_move_drops_the_half_line_and_asks_from_the_last_whole_event(watch: Callable[..., Watch]) -> None:
+    w, other = watch(), Bus()
+    assert w.bus.asked() == "from 1"
+    w.bus.conn.sendall(event(2, entry("h1", 1)) + event(3, entry("old", 2))[:30])
+    w.until(lambda: w.offsets() == [2])
+    w.follower.move(other.listening.getsockname()[:2])
+    assert other.asked() == "from 2" and w.bus.ended()
+    other.conn.sendall(event(3, entry("new", 2)))
+    w.until(lambda: w.offsets() == [2, 3])
+    assert isinstance(said := w.told[1], BusSaid) and said.event.topology is not None
+    assert [s.id for s in said.event.topology.servers] == ["new"]
+
+
+def test_a_line_queued_behind_a_move_is_dropped_and_one_before_it_counts(watch: Callable[..., Watch]) -> None:
+    w, other = watch(), Bus()
+    assert w.bus.asked() == "from 1"
+    w.gate.clear()
+    w.bus.conn.sendall(event(2) + event(3))
+    w.until(lambda: w.told and len(w.follower.box) == 1)  # 2 is in hand, 3 is queued
+    w.follower.move(other.listening.getsockname()[:2])
+    w.bus.conn.sendall(event(4))
+    w.until(lambda: len(w.follower.box) == 3)
+    w.gate.set()
+    assert other.asked() == "from 3"
+    other.conn.sendall(event(5))
+    w.until(lambda: len(w.told) == 3)
+    assert w.offsets() == [2, 3, 5]
+
+
+# --- a bus that numbers anew ---
+
+ANEW = event(1, entry("h1", 1), entry("h2", 2), full=True) + event(2, entry("h2", 2, "left"), entry("h3", 3))
+
+
+def test_a_bus_that_numbers_anew_is_fetched_from_its_first_event_and_taken_as_one_list(
+    watch: Callable[..., Watch],
+) -> None:
+    w = watch(5, bus_anew_ms=300.0)
+    assert w.bus.asked() == "from 5"
+    w.bus.say_until_lost(event(3, entry("old", 9)) + b"2\n", 0.02)
+    assert w.bus.asked() == "from 0"
+    w.bus.conn.sendall(ANEW)
+    w.bus.conn.close()  # before it has named its number: nothing may be taken yet
+    assert w.bus.asked() == "from 0" and w.told == []
+    w.bus.conn.sendall(ANEW + b"2\n" + event(2, entry("old", 9)) + event(3, entry("h4", 4)))
+    w.until(lambda: w.offsets() == [-2, 3])
+    assert isinstance(said := w.told[0], ListReplaced)
+    assert said.update.whole and {s.id: s.addr[-1] for s in said.update.servers.values()} == {
+        "h1": "1",
+        "h3": "3",
+    }
+
+
+def followed(patch: pytest.MonkeyPatch, last: int) -> tuple[BusFollower, list[Any], list[float]]:
+    """A follower without a reader, under a clock of the test."""
+    clock, told = [0.0], list[Any]()
+    patch.setattr(bus_follower, "now_ms", lambda: clock[0])
+    patch.setattr(bus_follower, "spawn", lambda *reader: None)
+    follower = BusFollower(("", 1), last, Limits(), Lines(), told.append)
+    follower.connect(0.0)
+    return follower, told, clock
+
+
+@pytest.mark.parametrize("between", [b"5", event(6), event(3)])
+def test_a_number_below_the_last_event_has_to_stay_there(
+    monkeypatch: pytest.MonkeyPatch, between: bytes
+) -> None:
+    """A newer event or the right number in between begins the time anew; an old event changes nothing."""
+    follower, _, clock = followed(monkeypatch, 5)
+    for at, line in ((0.0, b"2"), (4000.0, between), (5000.0, b"2"), (8000.0, b"2")):
+        clock[0] = at
+        follower.receive(Told(follower.connection, line))
+    assert (follower.snapshot is not None) == (between == event(3))
+    clock[0] = 12_500.0
+    follower.receive(Told(follower.connection, b"2"))
+    assert follower.snapshot is not None or between == event(3)
+
+
+def test_a_new_numbering_without_events_or_without_a_whole_one_empties_no_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    follower, told, clock = followed(monkeypatch, 5)
+    for at in (0.0, 8000.0, 9000.0):
+        clock[0] = at
+        follower.receive(Told(follower.connection, b"0"))
+    assert told == [] and follower.last == 0
+    for line in (event(1, entry("h1", 1)), b"1"):
+        follower.receive(Told(follower.connection, line))
+    assert [t.update.whole for t in told] == [False]
+
+
+def test_a_move_in_the_middle_of_fetching_begins_at_the_first_event_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    follower, told, clock = followed(monkeypatch, 5)
+    for at in (0.0, 8000.0):
+        clock[0] = at
+        follower.receive(Told(follower.connection, b"2"))
+    first, second = ANEW.splitlines()
+    old = follower.connection
+    for message in (Told(old, first), Moved(("", 2)), Told(old, second), Told(old, b"2")):
+        follower.receive(message)
+    assert told == [] and follower.last == 0
+    for line in (event(1, entry("h7", 7)), b"1"):  # not whole, so that nothing but the move clears the others
+        follower.receive(Told(follower.connection, line))
+    assert [list(t.update.servers) for t in told] == [["h7"]]
+
+
 # --- the list ---
 
 
@@ -169,6 +430,25 @@
     assert all(listed.actor.hosts[id][1] is before[id] for id in expected)
 
 
+def test_a_whole_list_crosses_a_change_by_its_offset_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An old or repeated one changes nothing, a newer one everything."""
+    follower, told, _ = followed(monkeypatch, 2)
+    made = List()
+    for line in (
+        event(3, entry("h1", 1)),
+        event(2, entry("h2", 2), full=True),
+        event(3, full=True),
+        event(4, entry("h1", 1, "left"), entry("h4", 4), full=True),
+        event(4, full=True),
+    ):
+        follower.receive(Told(follower.connection, line))
+    for said in told:
+        made.actor.receive(said)
+    assert made.state() == {"h4": (UP, 4)} and follower.last == 4
+    made.actor.strike("h4", now=True)
+    gevent.sleep(0)
+
+
 # one event, in either order of its entries, to a list of h1 at 1 and h2 at 2
 TOGETHER: dict[str, tuple[list[Any], dict[str, tuple[i.Drain, int]]]] = {
     "left, its address another's": ([entry("h1", 1, "left"), entry("n", 1)], {"n": (UP, 1), "h2": (UP, 2)}),
@@ -221,3 +501,59 @@
     batch = [BusEvent(n, Topology([Server(**step)])) for n, step in enumerate(steps)]
     made.actor.begin(Known(2, batch))
     assert made.state() == {}
+
+
+# --- any JSON ---
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+ENTRY = st.fixed_dictionaries(
+    {"id": st.sampled_from(["h1", "h2"]) | JSON},
+    optional={
+        "addr": st.sampled_from(["127.0.0.1:1", "127.0.0.1:9"]) | JSON,
+        "state": st.sampled_from(["active", "leaving", "left"]) | JSON,
+        "weight": st.floats(allow_nan=False) | JSON,
+        "started_ms": st.integers() | JSON,
+        "cell": st.integers() | JSON,
+        "zone": st.text() | JSON,
+    },
+)
+TOPOLOGY = st.fixed_dictionaries(
+    {"servers": st.lists(ENTRY | JSON, max_size=4) | JSON, "full": st.booleans()}
+)
+EVENT = st.fixed_dictionaries({"offset": st.integers(-2, 9) | JSON, "topology": TOPOLOGY | JSON})
+
+
+@settings(max_examples=300, deadline=None)
+@given(said=EVENT | JSON)
+def test_no_json_ends_the_follower_or_the_list_and_what_is_spoilt_changes_nothing(said: Any) -> None:
+    made, told, log = List(), list[Any](), Lines()
+    made.say(entry("h1", 1), entry("h2", 2), full=True)
+    before = made.state()
+    follower = BusFollower(("", 1), 2, Limits(), log, told.append)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(bus_follower, "spawn", lambda *reader: None)
+        follower.connect(0.0)
+        for _ in range(2):  # the second time it is left out
+            follower.receive(Told(follower.connection, json.dumps(said).encode()))
+    changes = len(made.log.of("list"))
+    for each in told:
+        made.actor.receive(each)
+    assert len(made.log.of("list")) > changes or made.state() == before
+    assert made.state() is not None
+    for id in list(made.actor.hosts):
+        made.actor.strike(id, now=True)
+    gevent.sleep(0)
+
+
+def test_lines_that_nest_deeper_than_the_reader_go_are_left_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    follower, told, _ = followed(monkeypatch, 1)
+    deep = b"[" * 100_000 + b"]" * 100_000
+    for line in (b'{"offset":2,"x":' + deep + b"}", b'{"offset":2,"topology":{"servers":[' + deep + b"]}}"):
+        for _ in range(2):
+            follower.receive(Told(follower.connection, line))
+    follower.receive(Told(follower.connection, event(2)))
+    assert [t.event.offset for t in told] == [2]
