Show that an event under a spoilt high offset silences the bus for a while only

Measured: passed; with the bus's own number not taken as the last event (net/bus_follower.py, `number`, on a scratch copy) it fails.

--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -288,6 +288,20 @@
     assert [t.update.whole for t in told] == [False]
 
 
+def test_an_event_under_a_spoilt_high_offset_keeps_later_ones_from_being_heard_for_a_while_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    follower, told, clock = followed(monkeypatch, 5)
+    high = event(2**52, entry("h6", 6))
+    for at, line in ((0.0, high), (1.0, b"6"), (8000.0, b"6")):
+        clock[0] = at
+        follower.receive(Told(follower.connection, line))
+    for line in (event(1, entry("h1", 1), full=True), high, b"6", event(7, entry("h7", 7))):
+        follower.receive(Told(follower.connection, line))
+    assert [list(t.update.servers) for t in told[1:2]] == [["h1", "h6"]]
+    assert [t.event.offset for t in told[2:]] == [7]
+
+
 def test_a_move_in_the_middle_of_fetching_begins_at_the_first_event_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
