Rewrite the docstrings of core/actor.py in ordinary technical English

Cause: some public methods had no docstring, others needed the program's own words. Change: docstrings and the name of one parameter; nothing else.

--- a/harrieryoke/core/actor.py
+++ b/harrieryoke/core/actor.py
@@ -1,4 +1,4 @@
-"""Actors: a greenlet each, a bounded mailbox each, and nobody else touches their state."""
+"""Actors: each has a greenlet, a bounded mailbox, and sole ownership of its state."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 
 def now_ms() -> float:
-    """The system's Unix clock in milliseconds: the only clock of the invoker."""
+    """Return the system's Unix time in milliseconds: the only clock of the invoker."""
     return time.time() * 1000
 
 
 def spawn(
     log: Log, name: str, run: Callable[[], object], ended: Callable[[], object] | None = None
 ) -> gevent.Greenlet:
-    """Starts a greenlet that cannot die silently: an escaping error is logged, then `ended` is called."""
+    """Start a greenlet that can't die silently: an escaping error is logged, then `ended` is called."""
 
     def guarded() -> None:
         try:
@@ -38,17 +38,18 @@
     return gevent.spawn(guarded)
 
 
-def waited(told: AsyncResult, timeout_ms: float) -> dict[str, Any]:
-    """What an actor tells an operator, or nothing where it takes too long."""
+def waited(result: AsyncResult, timeout_ms: float) -> dict[str, Any]:
+    """Wait for an actor's answer to an operator; empty after the timeout."""
     try:
-        answer: dict[str, Any] = told.get(timeout=timeout_ms / 1000)
+        answer: dict[str, Any] = result.get(timeout=timeout_ms / 1000)
     except gevent.Timeout:
         return {}
     return answer
 
 
 class Actor:
-    """`tell` never blocks and says whether the message was taken; `push` waits for room."""
+    """Base class of actors. `tell` never blocks and returns whether the message was accepted; `push` waits
+    for room in the mailbox, except for its `reserve`."""
 
     def __init__(self, name: str, bound: int, log: Log, reserve: int = 0) -> None:
         self.name, self.bound, self.reserve, self.log = name, bound, reserve, log
@@ -57,9 +58,11 @@
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
+        """Start the actor's greenlet."""
         self.greenlet = spawn(self.log, self.name, self.run, self.finish)
 
     def tell(self, message: Any) -> bool:
+        """Queue a message without waiting; return False if the mailbox is full or the actor has ended."""
         if self.over or len(self.box) >= self.bound:
             return False
         self.box.append(message)
@@ -67,34 +70,36 @@
         return True
 
     def push(self, message: Any) -> bool:
-        """Backpressure on the sender: waits while the mailbox is full up to its reserve."""
+        """Queue a message with backpressure: wait while the mailbox is full up to its reserve."""
         while not self.over and len(self.box) >= self.bound - self.reserve:
             self.emptied.clear()
             self.emptied.wait()
         return self.tell(message)
 
     def wait(self, timeout_ms: float | None = None) -> None:
-        """Until there is a message, or the time-out."""
+        """Wait for a message, or until the timeout."""
         if not self.box:
             self.filled.clear()
             self.filled.wait(None if timeout_ms is None else max(0.0, timeout_ms) / 1000)
 
     def work(self) -> None:
-        """Receives one message after the other: what is not yet received stays in the mailbox."""
+        """Receive one message after the other; those not yet received stay in the mailbox."""
         while self.box and not self.over:
             message = self.box.popleft()
             self.emptied.set()
             self.receive(message)
 
     def run(self) -> None:
+        """Run the actor's loop until it has ended."""
         while not self.over:
             self.wait()
             self.work()
 
     def receive(self, message: Any) -> None:
+        """Handle one message; each actor defines it."""
         raise NotImplementedError
 
     def finish(self) -> None:
-        """The actor has ended: its mailbox takes nothing more, and whoever waits for room goes on."""
+        """Close the mailbox once the actor has ended, and release the senders that wait for room."""
         self.over = True
         self.emptied.set()
