Let a repeat of a keyed request begin only while its key's window is open

Cause: the module looks at repeat_window when it decides (Router.may_go), but a dial of up to 250 ms, twice after a reset, or a host that does not read lies between that and the first byte: the host could take the repeat for a new request.

Change: RequestTable.attempt sets start_by for a further attempt of a keyed class, from the earliest attempt that may have run or is still out, less the tick as in may_go; the host's actor ends what is past it as NOT_SENT. Entry.ran_since replaces Entry.may_have_run, which follows from it.

--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -83,7 +83,7 @@
     sent: float
     wanted: bool = True
     begun: bool = False
-    start_by: float = float("inf")  # a send that begins later than this could be taken for a new request
+    start_by: float = float("inf")  # a send that begins no earlier than this could be taken for a new request
 
 
 @dataclass(slots=True, eq=False)
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -22,9 +22,13 @@
     front: Front
     due: float
     attempts: int = 0
-    may_have_run: bool = False
+    ran_since: float = float("inf")  # when the first attempt that may have run was sent
     flying: list[Attempt] = field(default_factory=list)
 
+    @property
+    def may_have_run(self) -> bool:
+        return self.ran_since < float("inf")
+
 
 class RequestTable:
     """Owned by the module actor. Tasks that are out end here once, by their host or by their time."""
@@ -137,11 +141,22 @@
         made = Attempt(
             worker, min(stop_at, entry.due), now, call=entry.call, request=entry.number, number=entry.attempts
         )
+        made.start_by = self.start_by(entry)
         entry.attempts += 1
         entry.flying.append(made)
         self.attempts[made.request, made.number] = made
         return made
 
+    def start_by(self, entry: Entry) -> float:
+        """Until when a further attempt may begin: in a keyed class, while the hosts still know the key of the
+        earliest one that may have run, or is out. The module looks when it decides, but a dial or a host that
+        does not read lies between that and the first byte."""
+        kind = self.settings.classes[entry.call.class_index]
+        if kind.effect is not i.Effect.KEYED:
+            return float("inf")
+        earliest = min([entry.ran_since, *(attempt.sent for attempt in entry.flying)])
+        return earliest + kind.repeat_window - self.settings.tick
+
     def settle(self, ended: TaskEnded) -> TaskEnded | None:
         """The first end of a task counts; any later one is None."""
         task = ended.task
@@ -154,7 +169,8 @@
             del self.attempts[task.request, task.number]
             if entry := self.entries.get(task.request):
                 entry.flying.remove(task)
-                entry.may_have_run = entry.may_have_run or ended.outcome not in NEVER_RAN
+                if ended.outcome not in NEVER_RAN:
+                    entry.ran_since = min(entry.ran_since, task.sent)
         return ended
 
     def waited_for(self, function: str) -> None:
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -15,6 +15,7 @@
 from harrieryoke import interface as i
 from harrieryoke.core.figures import Figures
 from harrieryoke.core.records import Attempt, Call, Order, Task, TaskEnded
+from harrieryoke.core.table import RequestTable
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net import frames
@@ -270,6 +271,56 @@
     assert not task.begun and not frame.begun
 
 
+# --- the window in which a request may be repeated ---
+
+
+class Port:
+    """A host's mailbox that takes all and tells nothing."""
+
+    def begin(self, task: Task) -> bool:
+        return True
+
+    def revoke(self, task: Task) -> None: ...
+
+    def drop(self, function: str) -> None: ...
+
+    def served(self, call: Call, body: bytes) -> None: ...
+
+    def refused(self, call: Call, retry_after: float | None) -> None: ...
+
+    def failed(self, call: Call, reason: str) -> None: ...
+
+
+NEVER = float("inf")
+
+
+@pytest.mark.parametrize(
+    ("effect", "ends", "start_by"),
+    [
+        (i.Effect.KEYED, [RESET, RESET], 1000.0 + 300 - 2),  # the first of them counts
+        (i.Effect.KEYED, [NOT_SENT, RESET], 1100.0 + 300 - 2),  # that never ran
+        (i.Effect.KEYED, [NOT_SENT, i.Outcome.MISS], NEVER),
+        (i.Effect.KEYED, [None, NOT_SENT], 1000.0 + 300 - 2),  # that is still out
+        (i.Effect.KEYED, [], NEVER),
+        (i.Effect.SAFE, [RESET, None], NEVER),
+        (i.Effect.UNSAFE, [RESET, None], NEVER),
+    ],
+)
+def test_a_repeat_may_begin_while_the_first_that_may_have_run_is_known_by_its_key(
+    effect: i.Effect, ends: list[i.Outcome | None], start_by: float
+) -> None:
+    kind = i.RequestClass("read", 500, 2000, effect=effect, group=i.Group.ALL, repeat_window=300)
+    table, port = RequestTable(i.Settings((kind,), tick=2), Limits(), Figures()), Port()
+    table.take(Call("1", 0, "f", 9000.0), port, 1000.0)
+    entry = table.entries[1]
+    for turn, outcome in enumerate(ends):
+        task = table.attempt(entry, 1, 5000.0, 1000.0 + 100 * turn)
+        table.begin(task, port)
+        if outcome is not None:
+            table.settle(TaskEnded(task, outcome))
+    assert table.attempt(entry, 1, 5000.0, 1250.0).start_by == start_by
+
+
 # --- links that end ---
 
 
