Take no host for dead for want of a descriptor or of room on its links

Cause: dial() told of every OSError as NO_CONNECTION, also of EMFILE and ENFILE, and so did send() where all links_per_host links were full; the module takes NO_CONNECTION for a dead host that comes back without its copies, and all that waited in the mailbox failed with it. Two attempts of one request that were out together on one link shared a frame id: the second one replaced the first in Link.open, and its end raised KeyError in the actor.

Change: NoRoomForLink, raised where this process lacks a descriptor or all links are full, ends the task as NOT_SENT and leaves the mailbox alone. An ask whether the host lives ends as NO_CONNECTION at the limit of links, as before: the module takes an order that ended as NOT_SENT for a sign of life. A link on which a frame id is out or waits is not taken for another frame of that id.

Not done: a limit shared by all hosts' links, which needs one object handed through net/hostlist.py.

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +19,12 @@
 from .answers import ENDS, FOUND, number, read_report
 from .link import HostSocket, Link, Unsent, host_socket
 
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+
+
+class NoRoomForLink(Exception):
+    """This process can't have another link now, which tells nothing of the host."""
+
 
 @dataclass(slots=True)
 class Standing:
@@ -189,7 +196,10 @@
         nothing: `flush` looks again."""
         if not self.may_begin(task):
             return self.end(task, i.Outcome.NOT_SENT)
-        link = self.link_for_one_more(isinstance(task, Order) and task.copies == 0)
+        try:
+            link = self.link_for(task)
+        except NoRoomForLink:
+            return self.end(task, i.Outcome.NOT_SENT)
         if link is None:
             self.fail_queued()
             return self.end(task, i.Outcome.NO_CONNECTION)
@@ -295,31 +305,41 @@
             self.post(link, Unsent(frames.GIVE_UP, id, data=frames.encode(frames.GIVE_UP, id)))
 
     def unload(self, function: str) -> None:
-        if self.may_unload() and (link := self.link_for_one_more()):
+        try:
+            link = self.link_for(None) if self.may_unload() else None
+        except NoRoomForLink:
+            return
+        if link is not None:
             id = int(function, 16)
             self.post(link, Unsent(frames.UNLOAD, id, data=frames.encode(frames.UNLOAD, id)))
 
     # --- links ---
 
-    def link_for_one_more(self, ask: bool = False) -> Link | None:
+    def link_for(self, task: Task | None) -> Link | None:
         """The newest link with room, rather one that takes bytes; a further one only when all are full, or
         silent. An ask whether the host lives goes by none that owes an answer for longer than a dial would
-        take."""
+        take. None where the host can't be reached. Raises NoRoomForLink."""
+        ask = isinstance(task, Order) and task.copies == 0
+        id = int(task.call.rid, 16) if isinstance(task, Attempt) else None
         blocked: Link | None = None
         for link in reversed(self.links):
             quiet = now_ms() - link.asked if ask and link.asked is not None else 0.0
-            free = not link.ended and link.load < self.limits.streams_per_link
+            free = not link.ended and link.load < self.limits.streams_per_link and not link.holds(id)
             if free and quiet <= self.limits.dial_ms and not self.silent(link):
                 if not link.waiting:
                     return link
                 blocked = blocked or link
-        if blocked is not None:
-            return blocked
+        return blocked or self.another_link(ask)
+
+    def another_link(self, ask: bool) -> Link | None:
         if len(self.links) >= self.limits.links_per_host:
             for link in list(filter(self.silent, self.links)):
                 self.close(link, "silent")
         if len(self.links) >= self.limits.links_per_host:
-            return None
+            if ask:
+                return None
+            # a host that is just busy must not be taken for dead, its copies lost
+            raise NoRoomForLink("all links to the host are full")
         return self.dial()
 
     def silent(self, link: Link, times: int = 1) -> bool:
@@ -339,6 +359,8 @@
             sock = self.connect()
         except OSError as error:
             self.log("dial-failed", f"{self.name}: {error}")
+            if error.errno in NO_DESCRIPTOR:
+                raise NoRoomForLink(str(error)) from error
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # guards against a host that vanished with its link open: what it does not acknowledge ends the link
--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -70,6 +70,10 @@
         """Tasks that are out on it, and frames that are not yet written."""
         return len(self.open) + len(self.backlog)
 
+    def holds(self, id: int | None) -> bool:
+        """Whether a frame with this id is out on it or waits: a second one could not be told from it."""
+        return id in self.open or any(frame.id == id for frame in self.backlog)
+
     def write(self, frame: Unsent) -> bool:
         """Writes of the frame what the connection takes at once, and says whether it is whole now. Raises
         OSError."""
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import os
+import resource
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -377,3 +379,44 @@
     assert len(stage.ends) == 3 and not stage.box and not stage.places
     for sock in held:
         sock.close()
+
+
+def test_a_dial_without_a_descriptor_tells_nothing_of_the_host(stages: Make) -> None:
+    stage, task, queued = stages(), attempt(1), attempt(2)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    stage.begin(queued)
+    free = os.dup(0)
+    os.close(free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    try:
+        stage.send(task)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert stage.ends == [(task, NOT_SENT)] and len(stage.box) == 1
+    stage.until(lambda: stage.peers and stage.peers[0].heard)
+    assert stage.peers[0].heard == [request(2)] and len(stage.ends) == 1
+
+
+def test_a_host_whose_links_are_all_full_is_not_taken_for_dead(stages: Make) -> None:
+    stage, tasks = stages(Limits(links_per_host=2, streams_per_link=1)), [attempt(n) for n in (1, 2, 3, 4)]
+    stage.begin(tasks[3])
+    for task in tasks[:3]:
+        stage.send(task)
+    assert stage.ends == [(tasks[2], NOT_SENT)] and len(stage.box) == 1
+
+
+@pytest.mark.parametrize("narrow", [False, True])
+def test_two_attempts_of_a_request_that_are_out_together_go_by_two_links(stages: Make, narrow: bool) -> None:
+    stage = stages(narrow=narrow)
+    if narrow:
+        stage.blocked()
+    first, second = attempt(1), attempt(1, number=1)
+    stage.send(first)
+    stage.send(second)
+    assert first.begun is not narrow and second.begun
+    stage.give_up(first)
+    stage.reading.set()
+    stage.until(lambda: stage.peers[1].heard)
+    stage.peers[1].answer(frames.OK, second)
+    stage.until(lambda: stage.ends)
+    assert stage.ends == [(second, OK)] and first not in stage.places
