--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import os
+import resource
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -15,6 +17,7 @@
 from harrieryoke import interface as i
 from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import Attempt, Call, Order, Task, TaskEnded
+from harrieryoke.core.table import RequestTable
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net import frames
@@ -270,6 +273,56 @@
     assert not task.begun and not frame.begun
 
 
+# --- the window in which a request may be repeated ---
+
+
+class Port:
+    """A host's mailbox that takes all and tells nothing."""
+
+    def begin(self, task: Task) -> bool:
+        return True
+
+    def revoke(self, task: Task) -> None: ...
+
+    def drop(self, function: str) -> None: ...
+
+    def served(self, call: Call, body: bytes) -> None: ...
+
+    def refused(self, call: Call, retry_after: float | None) -> None: ...
+
+    def failed(self, call: Call, reason: str) -> None: ...
+
+
+NEVER = float("inf")
+
+
+@pytest.mark.parametrize(
+    ("effect", "ends", "start_by"),
+    [
+        (i.Effect.KEYED, [RESET, RESET], 1000.0 + 300 - 2),  # the first of them counts
+        (i.Effect.KEYED, [NOT_SENT, RESET], 1100.0 + 300 - 2),  # that never ran
+        (i.Effect.KEYED, [NOT_SENT, i.Outcome.MISS], NEVER),
+        (i.Effect.KEYED, [None, NOT_SENT], 1000.0 + 300 - 2),  # that is still out
+        (i.Effect.KEYED, [], NEVER),
+        (i.Effect.SAFE, [RESET, None], NEVER),
+        (i.Effect.UNSAFE, [RESET, None], NEVER),
+    ],
+)
+def test_a_repeat_may_begin_while_the_first_that_may_have_run_is_known_by_its_key(
+    effect: i.Effect, ends: list[i.Outcome | None], start_by: float
+) -> None:
+    kind = i.RequestClass("read", 500, 2000, effect=effect, group=i.Group.ALL, repeat_window=300)
+    table, port = RequestTable(i.Settings((kind,), tick=2), Limits(), Figures()), Port()
+    table.take(Call("1", 0, "f", 9000.0), port, 1000.0)
+    entry = table.entries[1]
+    for turn, outcome in enumerate(ends):
+        task = table.attempt(entry, 1, 5000.0, 1000.0 + 100 * turn)
+        table.begin(task, port)
+        if outcome is not None:
+            table.settle(TaskEnded(task, outcome))
+    assert table.attempt(entry, 1, 5000.0, 1250.0).start_by == start_by
+
+
 # --- links that end ---
 
 
@@ -326,3 +379,44 @@
     assert len(stage.ends) == 3 and not stage.box and not stage.places
     for sock in held:
         sock.close()
+
+
+def test_a_dial_without_a_descriptor_tells_nothing_of_the_host(stages: Make) -> None:
+    stage, task, queued = stages(), attempt(1), attempt(2)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    stage.begin(queued)
+    free = os.dup(0)
+    os.close(free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    try:
+        stage.send(task)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert stage.ends == [(task, NOT_SENT)] and len(stage.box) == 1
+    stage.until(lambda: stage.peers and stage.peers[0].heard)
+    assert stage.peers[0].heard == [request(2)] and len(stage.ends) == 1
+
+
+def test_a_host_whose_links_are_all_full_is_not_taken_for_dead(stages: Make) -> None:
+    stage, tasks = stages(Limits(links_per_host=2, streams_per_link=1)), [attempt(n) for n in (1, 2, 3, 4)]
+    stage.begin(tasks[3])
+    for task in tasks[:3]:
+        stage.send(task)
+    assert stage.ends == [(tasks[2], NOT_SENT)] and len(stage.box) == 1
+
+
+@pytest.mark.parametrize("narrow", [False, True])
+def test_two_attempts_of_a_request_that_are_out_together_go_by_two_links(stages: Make, narrow: bool) -> None:
+    stage = stages(narrow=narrow)
+    if narrow:
+        stage.blocked()
+    first, second = attempt(1), attempt(1, number=1)
+    stage.send(first)
+    stage.send(second)
+    assert first.begun is not narrow and second.begun
+    stage.give_up(first)
+    stage.reading.set()
+    stage.until(lambda: stage.peers[1].heard)
+    stage.peers[1].answer(frames.OK, second)
+    stage.until(lambda: stage.ends)
+    assert stage.ends == [(second, OK)] and first not in stage.places
