Begin a lost model host cold from the answer that ends its loss

Cause: take_out took a host that refused a connection to have started at that refusal. Asks come up to 1.5 keep-alives apart, so a front end could hold a host for nearly warm that had just started. A host that left asks unanswered instead of refusing was not taken to have started at all, and was warm at once.

Change: Worker.lost says that a host which is out refused a connection or was taken out again while out; back begins it cold from the answer. begin_cold keeps the start that it is told; its only caller with a told start has compared it before.

A host that was only unreachable for longer than one ask is held for cold as well.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -91,7 +91,7 @@
 
     def begin_cold(self, w: Worker, started: float) -> None:
         """It has started anew: its copies are gone; its budget begins spread over the front ends."""
-        w.started, w.budget, w.doubts = max(w.started, started), Bucket(self.rng.random(), self.now), {}
+        w.started, w.budget, w.doubts = started, Bucket(self.rng.random(), self.now), {}
         self.warm_at = max(self.warm_at, w.started + self.s.cold_period)
         self.forget(w)
 
@@ -144,7 +144,7 @@
 
     def take_out(self, w: Worker, dead: bool) -> None:
         """Out until an ask is answered, each time for longer; a dead one will have started anew: cold."""
-        first, self.outs = not w.backoff, self.outs + (not w.out)
+        first, self.outs, w.lost = not w.backoff, self.outs + (not w.out), dead or w.out
         self.zones[w.entry.zone] += not w.out
         w.backoff = min(max(2 * w.backoff, self.s.connect_timeout), self.s.keep_alive)
         w.out, w.asked, w.dead, least = True, False, dead, max(1.0, LEAST_LIMIT / self.s.front_ends)
@@ -168,8 +168,7 @@
             self.say(ask) if w.up else self.later(w.backoff, self.ask, w)
 
     def overdue(self, key: tuple[int, int]) -> None:
-        """An attempt unanswered for far longer than usual: its class is doubted there until one is answered,
-        and a worker that sent nothing since is asked. Guards against hung workers and lost answers."""
+        """Overdue: its class is doubted there until one is answered, a worker quiet since is asked."""
         if key not in self.attempts:
             return
         w, f, sent = self.attempts[key]
@@ -208,9 +207,10 @@
     def back(self, w: Worker) -> None:
         w.heard = self.heard = self.now
         self.zones[w.entry.zone] = 0
+        if w.out and w.lost:  # it may have started at any moment until this answer
+            self.begin_cold(w, self.now)
         if w.out:
-            w.out, w.slow, w.dead = False, 1.0, False
-            self.outs -= 1
+            w.out, w.slow, w.dead, self.outs = False, 1.0, False, self.outs - 1
 
     # --- copy table ---
 
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -73,6 +73,7 @@
     up: bool = True
     dead: bool = False  # it refused a connection when last tried
     out: bool = False  # taken out until an ask is answered
+    lost: bool = False  # it refused a connection or left an ask unanswered: it may have started anew
     asked: bool = False
     leaving: bool = False  # it has gone from the list and is about to be forgotten
     backoff: float = 0.0
