--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -22,7 +22,7 @@
     INVALID,
     NO_METHOD,
     REFUSED,
-    BadRequest,
+    BadRequestError,
     CallParams,
     GiveUpParams,
     Message,
@@ -250,24 +250,24 @@
             m = decode(data)
             method = m.method
             if m.jsonrpc != "2.0":
-                raise BadRequest(INVALID, "jsonrpc: '2.0' is wanted")
+                raise BadRequestError(INVALID, "jsonrpc: '2.0' is wanted")
             if method == "giveUp":
                 return self.give_up(m)
             if m.id is None or m.id in self.open:
                 # a second answer could come under an id that is still open
-                raise BadRequest(INVALID, "id: a new number is wanted")
+                raise BadRequestError(INVALID, "id: a new number is wanted")
             id = m.id
             if method == "probe":
                 return self.write({"id": id, "result": {"healthy": True}})
             if len(self.open) >= self.limits.open_per_connection:
-                raise BadRequest(REFUSED, "too many open requests on this connection")
+                raise BadRequestError(REFUSED, "too many open requests on this connection")
             call = self.call(method, bytes(m.params), at)
-        except BadRequest as error:
+        except BadRequestError as error:
             return self.reject(id, method, error)
         self.open[id], self.ids[call] = call, id
         self.core.offer(call, self)
 
-    def reject(self, id: int | None, method: str, error: BadRequest) -> None:
+    def reject(self, id: int | None, method: str, error: BadRequestError) -> None:
         self.log("bad-request", f"{self.name}: {error}")
         if method in self.maker.classes:
             self.core.figures.count_final_answer(method, "refused" if error.code == REFUSED else "failed")
@@ -275,7 +275,7 @@
 
     def call(self, method: str, params: bytes, at: float) -> Call:
         if method not in self.maker.classes:
-            raise BadRequest(NO_METHOD, f"no class {method[:64]!r}")
+            raise BadRequestError(NO_METHOD, f"no class {method[:64]!r}")
         try:
             p: CallParams = msgspec.json.decode(params, type=CallParams)
             made = self.maker.make(
@@ -284,14 +284,14 @@
             made.client = self.peer
             return made
         except (msgspec.MsgspecError, BadCall, ValueError) as error:
-            raise BadRequest(BAD_PARAMS, str(error)) from None
+            raise BadRequestError(BAD_PARAMS, str(error)) from None
 
     def give_up(self, m: Message) -> None:
         """Named by its id or its rid; after this nothing is written for it."""
         try:
             p: GiveUpParams = msgspec.json.decode(bytes(m.params), type=GiveUpParams)
         except msgspec.MsgspecError as error:
-            raise BadRequest(BAD_PARAMS, str(error)) from None
+            raise BadRequestError(BAD_PARAMS, str(error)) from None
         id = p.id if p.id is not None else m.id
         if p.rid is not None:
             id = next((n for n, call in self.open.items() if call.rid == p.rid), None)
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -22,7 +22,7 @@
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
-class NoRoomForLink(Exception):
+class NoRoomForLinkError(Exception):
     """This process can't have another link now, which tells nothing of the host."""
 
 
@@ -198,7 +198,7 @@
             return self.end(task, i.Outcome.NOT_SENT)
         try:
             link = self.link_for(task)
-        except NoRoomForLink:
+        except NoRoomForLinkError:
             return self.end(task, i.Outcome.NOT_SENT)
         if link is None:
             self.fail_queued()
@@ -307,7 +307,7 @@
     def unload(self, function: str) -> None:
         try:
             link = self.link_for(None) if self.may_unload() else None
-        except NoRoomForLink:
+        except NoRoomForLinkError:
             return
         if link is not None:
             id = int(function, 16)
@@ -318,7 +318,7 @@
     def link_for(self, task: Task | None) -> Link | None:
         """The newest link with room, rather one that takes bytes; a further one only when all are full, or
         silent. An ask whether the host lives goes by none that owes an answer for longer than a dial would
-        take. None where the host can't be reached. Raises NoRoomForLink."""
+        take. None where the host can't be reached. Raises NoRoomForLinkError."""
         ask = isinstance(task, Order) and task.copies == 0
         id = int(task.call.rid, 16) if isinstance(task, Attempt) else None
         blocked: Link | None = None
@@ -339,7 +339,7 @@
             if ask:
                 return None
             # a host that is just busy must not be taken for dead, its copies lost
-            raise NoRoomForLink("all links to the host are full")
+            raise NoRoomForLinkError("all links to the host are full")
         return self.dial()
 
     def silent(self, link: Link, times: int = 1) -> bool:
@@ -360,7 +360,7 @@
         except OSError as error:
             self.log("dial-failed", f"{self.name}: {error}")
             if error.errno in NO_DESCRIPTOR:
-                raise NoRoomForLink(str(error)) from error
+                raise NoRoomForLinkError(str(error)) from error
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # guards against a host that vanished with its link open: what it does not acknowledge ends the link
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -17,7 +17,7 @@
 from .host import HostActor, Retire, Standing
 from .hostlist_model import (
     DRAINS,
-    BadServer,
+    BadServerError,
     BusEvent,
     BusSaid,
     Known,
@@ -151,7 +151,7 @@
                 update.offset, unknown, "name it in the settings and send SIGHUP, or correct the bus"
             )
 
-    def log_bad(self, offset: int, errors: list[BadServer], advice: str) -> None:
+    def log_bad(self, offset: int, errors: list[BadServerError], advice: str) -> None:
         """The first of the errors, and how many more there are."""
         more = f" (and {len(errors) - 1} more)" if len(errors) > 1 else ""
         self.log("bad-event", f"event {offset}: {errors[0]}{more}; {advice}")
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -84,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BadServer(ValueError):
+class BadServerError(ValueError):
     """An entry of an event that can't be used. `host` is empty where the entry does not say whom it means."""
 
     host: str
@@ -101,7 +101,7 @@
     """An event for the list's actor, and the entries of it that have the wrong types."""
 
     event: BusEvent
-    bad: tuple[BadServer, ...] = ()
+    bad: tuple[BadServerError, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +112,7 @@
     offset: int
     whole: bool
     servers: dict[str, Server]
-    bad: tuple[BadServer, ...] = ()
+    bad: tuple[BadServerError, ...] = ()
 
     def kept(self) -> set[str]:
         """Hosts that are named by spoilt entries alone."""
@@ -146,36 +146,40 @@
 
 
 def check_server(server: Server) -> None:
-    """Raises BadServer for the first field that can't be used."""
+    """Raises BadServerError for the first field that can't be used."""
     if not 0 < len(server.id) <= ID_MOST:
-        raise BadServer("", "id", f"1 to {ID_MOST} characters are wanted, not {len(server.id)}")
+        raise BadServerError("", "id", f"1 to {ID_MOST} characters are wanted, not {len(server.id)}")
     if server.state not in DRAINS:
-        raise BadServer(server.id, "state", f"{server.state[:SHOWN_MOST]!r} is none of {', '.join(DRAINS)}")
+        raise BadServerError(
+            server.id, "state", f"{server.state[:SHOWN_MOST]!r} is none of {', '.join(DRAINS)}"
+        )
     try:
         address(server.addr)
     except ValueError as error:
-        raise BadServer(server.id, "addr", str(error)) from None
+        raise BadServerError(server.id, "addr", str(error)) from None
     if not 0 <= server.cell <= MOST_NUMBER:
-        raise BadServer(server.id, "cell", f"not from 0 to {MOST_NUMBER}")
+        raise BadServerError(server.id, "cell", f"not from 0 to {MOST_NUMBER}")
     if not (math.isfinite(server.weight) and server.weight >= 0):
-        raise BadServer(server.id, "weight", f"{server.weight} is not a finite number from 0 on")
+        raise BadServerError(server.id, "weight", f"{server.weight} is not a finite number from 0 on")
     if not 0 <= server.started_ms <= MOST_NUMBER:
-        raise BadServer(server.id, "started_ms", f"{server.started_ms} is not from 0 to {MOST_NUMBER}")
+        raise BadServerError(server.id, "started_ms", f"{server.started_ms} is not from 0 to {MOST_NUMBER}")
 
 
-def unknown_names(server: Server, settings: i.Settings) -> list[BadServer]:
+def unknown_names(server: Server, settings: i.Settings) -> list[BadServerError]:
     """Zone and kind where the settings have no such name. The host is used all the same: the bus may list a
     new zone before SIGHUP brings its name, and a host that drains there has to be heard."""
     asked = (("zone", server.zone, settings.zones), ("kind", server.kind, settings.kinds))
     return [
-        BadServer(server.id, field, f"{name[:SHOWN_MOST]!r} is not in the settings; the first one is assumed")
+        BadServerError(
+            server.id, field, f"{name[:SHOWN_MOST]!r} is not in the settings; the first one is assumed"
+        )
         for field, name, names in asked
         if name and name not in names
     ]
 
 
 def read_server(raw: msgspec.Raw) -> Server:
-    """One entry of an event. Raises BadServer."""
+    """One entry of an event. Raises BadServerError."""
     try:
         return WIRE_SERVER.decode(raw)
     except (ValueError, RecursionError) as error:
@@ -184,7 +188,7 @@
         host = WIRE_NAMED.decode(raw).id
     except (ValueError, RecursionError):
         host = ""
-    raise BadServer(host if len(host) <= ID_MOST else "", "entry", problem)
+    raise BadServerError(host if len(host) <= ID_MOST else "", "entry", problem)
 
 
 def decode_line(line: bytes) -> BusSaid | int:
@@ -197,11 +201,11 @@
         return said
     if said.topology is None:
         return BusSaid(BusEvent(said.offset))
-    servers, bad = list[Server](), list[BadServer]()
+    servers, bad = list[Server](), list[BadServerError]()
     for raw in said.topology.servers:
         try:
             servers.append(read_server(raw))
-        except BadServer as error:
+        except BadServerError as error:
             bad.append(error)
     topology = Topology(servers, said.topology.version, said.topology.full)
     return BusSaid(BusEvent(said.offset, topology), tuple(bad))
@@ -217,7 +221,7 @@
     for server in topology.servers:
         try:
             check_server(server)
-        except BadServer as error:
+        except BadServerError as error:
             bad.append(error)
             continue
         servers.pop(server.id, None)
@@ -240,7 +244,7 @@
 
     servers: dict[str, Server] = field(default_factory=dict)
     whole: bool = False  # one of the events was
-    bad: dict[str, BadServer] = field(default_factory=dict)
+    bad: dict[str, BadServerError] = field(default_factory=dict)
 
     def take(self, update: ListUpdate) -> None:
         """The next event."""
--- a/harrieryoke/net/jsonrpc.py
+++ b/harrieryoke/net/jsonrpc.py
@@ -30,7 +30,7 @@
     rid: str | None = None
 
 
-class BadRequest(ValueError):
+class BadRequestError(ValueError):
     """What a client sent is no request; `code` is JSON-RPC's."""
 
     def __init__(self, code: int, text: str) -> None:
@@ -48,11 +48,11 @@
 
 
 def decode(data: bytes) -> Message:
-    """One line as a message. Raises BadRequest."""
+    """One line as a message. Raises BadRequestError."""
     try:
         message: Message = msgspec.json.decode(data, type=Message)
     except msgspec.ValidationError as error:
-        raise BadRequest(INVALID, str(error)) from None
+        raise BadRequestError(INVALID, str(error)) from None
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise BadRequest(PARSE, str(error)) from None
+        raise BadRequestError(PARSE, str(error)) from None
     return message
