--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -112,7 +112,7 @@
 
 @pytest.mark.parametrize(
     ("limits", "answers"),
-    [({"write_ms": 100.0}, 1), ({"body_bytes": 16384, "open_per_connection": 4}, 5)],
+    [({"write_ms": 100.0}, 1), ({"body_bytes": 16384, "answer_bytes": 16384, "open_per_connection": 4}, 9)],
     ids=["it reads nothing for write_ms", "more is unsent than the bound"],
 )
 def test_client_that_does_not_read_is_lost(limits: dict[str, Any], answers: int) -> None:
