Wait for half lines and the backlog at a close by us, and end with a dead listener

In `accept` the setsockopt stood outside the `try`: an error there ended the listener, and nobody noticed. `StopListening` closed the listening socket with connections in its backlog (reset), and reported `empty` while an accepted connection was still in the mailbox or in the listener's hand.

`make_room` leaves out clients within a line. A connection that fails setsockopt is closed and the listener goes on; the front ends with its listener unless the descriptor was closed on purpose. At a stop the backlog is taken first (not where another process accepts), and `empty` waits for the mailbox and the listeners.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -65,7 +65,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseIfIdle:
-    """Nothing more is expected here: the connection closes once no request is open on it."""
+    """Nothing more is expected here: the connection closes once no request is open on it and no line is half
+    read. The line that was begun at `stalled`, and no other, has come to a stop and is not waited for."""
+
+    stalled: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,7 @@
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
         self.stopping = False
+        self.stalled: float | None = None  # when a line was begun that is not waited for
         self.going: PassOn | None = None
         self.partial = b""  # of a line that is not yet whole
         self.unposted: list[bytes] = []  # whole lines that are not in the mailbox yet, the newest first
@@ -136,6 +140,10 @@
         quiet = min(self.quiet(now) or 0.0, now - stepped)
         return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
 
+    def close_stale(self) -> bool:
+        """Has the connection closed, unless the client goes on before its actor comes to it."""
+        return self.tell(CloseIfIdle(self.used if self.partial else None))
+
     def unread(self) -> bool:
         """Whether something has come that the reader has not taken yet."""
         self.sock.settimeout(0)
@@ -214,8 +222,8 @@
                     self.line(data, at)
             case Answer(call, reply):
                 self.answer(call, reply)
-            case CloseIfIdle():
-                self.stopping = True
+            case CloseIfIdle(stalled):
+                self.stopping, self.stalled = True, stalled
             case PassOn():
                 self.going = message
             case AllSent():
@@ -225,9 +233,11 @@
 
     def leave_if_asked(self) -> None:
         """Nothing is open, unsent or on its way through the mailbox."""
+        if self.partial and self.stalled != self.used:
+            return
         if self.going is not None and not self.partial:
             self.hand_over(self.going)
-        elif self.stopping and (self.partial or not self.unread()):
+        elif self.stopping and not self.unread():
             self.over = True
 
     def hand_over(self, going: PassOn) -> None:
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -17,6 +17,8 @@
 from ..log import Log
 from .client import ClientActor, CloseIfIdle, PassOn
 
+BACKLOG = 512  # connections that the machine accepts ahead of the listener
+
 
 @dataclass(slots=True)
 class Accepted:
@@ -32,6 +34,13 @@
     client: ClientActor
 
 
+@dataclass(frozen=True, slots=True)
+class ListenerEnded:
+    """The listener's greenlet for this descriptor accepts no more."""
+
+    entry: socket.socket
+
+
 class StopListening:
     """No new connections from here; those there are go once nothing is open on them."""
 
@@ -47,6 +56,17 @@
     """The other process has ended: clients are accepted here again."""
 
 
+def set_up(sock: socket.socket, peer: tuple[str, int], log: Log) -> Accepted | None:
+    """A connection ready for its actor; None where it was reset before it was looked at."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as error:
+        log("accept-failed", str(error))
+        sock.close()
+        return None
+    return Accepted(sock, f"{peer[0]}:{peer[1]}")
+
+
 class PlatformFront(Actor):
     """Listens on the one address it was told, keeps the client connections, and stops in order."""
 
@@ -58,6 +78,7 @@
         self.clients: dict[ClientActor, bool] = {}  # whether it was told to leave
         self.few, self.most = limits.sockets // 2, limits.sockets * 2 // 3  # usual clients hold a third
         self.stopping, self.empty = False, Event()
+        self.listeners = 0  # greenlets that accept, or have accepted and still hold a connection
         self.yielded: PassOn | None = None
         self.listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
 
@@ -72,14 +93,15 @@
             if shared:
                 self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             self.listening.bind(self.where)
-            self.listening.listen(512)
+            self.listening.listen(BACKLOG)
         super().start()
         self.open()
 
     def open(self) -> None:
         """A descriptor of its own to accept on: while others accept, the listening socket is kept."""
-        self.entry = self.listening.dup()
-        spawn(self.log, "listener", lambda: self.accept(self.entry))
+        self.entry = entry = self.listening.dup()
+        self.listeners += 1
+        spawn(self.log, "listener", lambda: self.accept(entry), lambda: self.push(ListenerEnded(entry)))
 
     def accept(self, entry: socket.socket) -> None:
         """The listener's greenlet, until its descriptor is closed."""
@@ -89,12 +111,12 @@
             except OSError as error:
                 if entry.fileno() < 0:
                     return
-                # guards against running out of descriptors: the listener waits and goes on
+                # where descriptors have run out, the listener waits and goes on
                 self.log("accept-failed", str(error))
                 gevent.sleep(0.05)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.push(Accepted(sock, f"{peer[0]}:{peer[1]}"))
+            if (accepted := set_up(sock, peer, self.log)) is not None:
+                self.push(accepted)
 
     def run(self) -> None:
         swept = stepped = now_ms()
@@ -103,12 +125,12 @@
             self.work()
             now = now_ms()
             if not 0 <= now - swept < self.limits.sweep_ms:
-                # guards against a clock that steps ahead: all idle clients looked stale at once, and were
-                # closed with a request of theirs on its way
+                # where the clock steps ahead, all idle clients look stale at once, and would be closed with a
+                # request of theirs on its way
                 stepped = stepped if 0 <= now - swept < 4 * self.limits.sweep_ms else now
                 swept = now
                 for client in [c for c in self.clients if c.stale(now, stepped)]:
-                    self.dismiss(client)
+                    self.clients[client] = client.close_stale()
                 self.send_away()
 
     def send_away(self) -> None:
@@ -133,16 +155,39 @@
             case Resume() if self.yielded is not None and not self.stopping:
                 self.yielded = None
                 self.open()
+            case ListenerEnded(entry):
+                self.listeners -= 1
+                # a front that accepts nobody, and was not told so, ends: the service sees that
+                self.over = entry.fileno() >= 0
             case StopListening():
-                self.stopping = True
-                self.entry.close()
-                self.listening.close()
-                self.send_away()
-                for client in [c for c, leaves in self.clients.items() if not leaves]:
-                    self.dismiss(client)
-        if self.stopping and not self.clients:
+                self.stop_listening()
+        if self.stopping and not (self.clients or self.box or self.listeners):
             self.empty.set()
 
+    def stop_listening(self) -> None:
+        self.stopping = True
+        if self.yielded is None:
+            self.take_backlog()
+        self.entry.close()
+        self.listening.close()
+        self.send_away()
+        for client in [c for c, leaves in self.clients.items() if not leaves]:
+            self.dismiss(client)
+
+    def take_backlog(self) -> None:
+        """Connections that the machine has accepted and nobody has taken: the close would reset them."""
+        self.listening.settimeout(0)
+        for _ in range(BACKLOG):
+            try:
+                sock, peer = self.listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.log("accept-failed", str(error))
+                continue
+            if (accepted := set_up(sock, peer, self.log)) is not None:
+                self.accepted(accepted.sock, accepted.name, accepted.asked)
+
     def accepted(self, sock: socket.socket, name: str, asked: bool) -> None:
         if len(self.clients) - sum(self.clients.values()) >= self.few:
             self.make_room()
@@ -159,9 +204,11 @@
             self.dismiss(client)
 
     def make_room(self) -> None:
-        """The one that has been quiet longest leaves: a newcomer most likely is there to ask. Guards the
-        usual clients against others that ask once, or never, and keep their connections."""
+        """The client that has been quiet longest leaves, unless it is within a line: a newcomer most likely
+        is there to ask. So the usual clients find room beside others that ask once, or never, and keep their
+        connections."""
         now = now_ms()
-        quiet = {c: q for c, leaves in self.clients.items() if not leaves and (q := c.quiet(now)) is not None}
+        staying = [c for c, leaves in self.clients.items() if not leaves and not c.partial]
+        quiet = {c: q for c in staying if (q := c.quiet(now)) is not None}
         if quiet and max(quiet.values()) > self.limits.client_fresh_ms:
             self.dismiss(max(quiet, key=quiet.__getitem__))
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -14,10 +14,12 @@
 from harrieryoke import interface as i
 from harrieryoke.core.calls import CallMaker
 from harrieryoke.core.figures import Figures
-from harrieryoke.core.records import Call, Front
+from harrieryoke.core.records import Call
+from harrieryoke.core.records import Front as CallFront
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net.client import ClientActor
+from harrieryoke.net.platform import PlatformFront
 
 PATIENCE = 5.0  # seconds until a step that should come at once is held to have failed
 LONG_MS = 60000.0  # a write's time-out that no test waits for
@@ -46,7 +48,7 @@
         self.offered: dict[int, Call] = {}
         self.withdrawn: list[int] = []
 
-    def offer(self, call: Call, front: Front) -> bool:
+    def offer(self, call: Call, front: CallFront) -> bool:
         self.offered[int(call.rid, 16)] = call
         self.gate.wait()
         if self.answers:
@@ -67,6 +69,20 @@
     return json.dumps(told).encode() + b"\n"
 
 
+def read(sock: socket.socket, count: int) -> list[tuple[int, int]]:
+    """Reads so many answers: id and length of the body."""
+    stream, data = [], b""
+    with gevent.Timeout(PATIENCE, AssertionError("an answer is missing")):
+        while data.count(b"\n") < count:
+            got = sock.recv(65536)
+            assert got, f"the connection ended behind {len(data)} bytes"
+            data += got
+    for text in data.splitlines():
+        told = json.loads(text)
+        stream.append((told["id"], len(base64.b64decode(told["result"].get("blob", "")))))
+    return stream
+
+
 class Connection:
     """Both ends of one connection: `sock` is the client's, `actor` has the other, with small buffers."""
 
@@ -103,20 +119,53 @@
         until(lambda: not self.actor.box and self.actor.outgoing.unsent, "an answer that can't be written")
 
     def read(self, count: int) -> list[tuple[int, int]]:
-        """Reads so many answers: id and length of the body."""
-        stream, data = [], b""
-        with gevent.Timeout(PATIENCE, AssertionError("an answer is missing")):
-            while data.count(b"\n") < count:
-                got = self.sock.recv(65536)
-                assert got, f"the connection ended behind {len(data)} bytes"
-                data += got
-        for text in data.splitlines():
-            told = json.loads(text)
-            stream.append((told["id"], len(base64.b64decode(told["result"].get("blob", "")))))
-        return stream
+        return read(self.sock, count)
 
     def close(self) -> None:
         self.core.gate.set()
         self.sock.close()
         assert self.gone.wait(PATIENCE), "the actor did not end"
         assert not self.log.totals.get("greenlet-died")
+
+
+class Entrance:
+    """In the listening socket's place, and in that of the descriptor to accept on: `accept` is the test's."""
+
+    def __init__(self, sock: socket.socket, accept: Callable[[socket.socket], Any]) -> None:
+        self.sock, self.how = sock, accept
+
+    def dup(self) -> Entrance:
+        return Entrance(self.sock.dup(), self.how)
+
+    def accept(self) -> Any:
+        return self.how(self.sock)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+class Front:
+    """The front on loopback with small buffers; the listener's greenlet accepts as `accept` says, and the
+    front itself from the socket."""
+
+    def __init__(self, accept: Callable[[socket.socket], Any] = socket.socket.accept, **limits: Any) -> None:
+        self.core, self.log = Core(), Quiet()
+        told: Any = Limits(**{"write_ms": LONG_MS} | limits)
+        core: Any = self.core
+        self.listening = socket.socket()
+        self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen()
+        self.address = self.listening.getsockname()
+        self.front = PlatformFront(self.address, CallMaker(KINDS, told), core, told, self.log)
+        entrance: Any = Entrance(self.listening, socket.socket.accept)
+        entrance.dup = lambda: Entrance(self.listening.dup(), accept)
+        self.front.start(entrance)
+
+    def connect(self, *lines: bytes) -> socket.socket:
+        sock = socket.socket()
+        sock.settimeout(PATIENCE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        sock.connect(self.address)
+        sock.sendall(b"".join(lines))
+        return sock
--- /dev/null
+++ b/tests/test_shutdown_crossings.py
@@ -0,0 +1,220 @@
+"""What is on its way as connections are closed by the invoker: it is waited for, within bounds."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+
+from gevent import socket
+from gevent.event import Event
+
+from harrieryoke.net.client import CloseIfIdle
+from harrieryoke.net.platform import Accepted, Resume, StopListening, Yield
+
+from .clients import BODY, PATIENCE, Connection, Front, line, read, until
+from .scenario import Scene
+
+CALL = json.loads(line(1))
+CALL["params"] |= {"acct": "coop-kef", "props": "memory_mb:512;lanes:8;load_ms:500", "blob": ""}
+FIRST, SECOND = json.dumps(CALL)[:40], json.dumps(CALL)[40:]
+PATIENT = "[limits]\nclient_ask_ms = 60000"
+
+
+def until_refused(scene: Scene) -> None:
+    """Until the invoker has closed its listening socket: whoever is to leave has been told so."""
+    host, port = scene.address.split(":")
+    patience = time.monotonic() + 4 * PATIENCE
+    while time.monotonic() < patience:
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+        except ConnectionRefusedError:
+            return
+        except ConnectionResetError:
+            continue  # this one crossed the close; the next is refused
+        time.sleep(0.01)
+    raise AssertionError("it listens still")
+
+
+def play(folder: Path, *steps: str, operator: str = "") -> str:
+    """Plays a scenario, with a wait for the closed listening socket between its parts."""
+    scene = Scene(folder, operator=operator)
+    try:
+        scene.play(steps[0])
+        for step in steps[1:]:
+            until_refused(scene)
+            scene.play(step)
+    finally:
+        log = scene.end()
+    assert "greenlet-died" not in log, log
+    return log
+
+
+def test_half_line_at_sigterm_is_waited_for_and_answered(tmp_path: Path) -> None:
+    play(
+        tmp_path,
+        f"""
+        send c1 part '{FIRST}'
+        send node TERM
+        wait stopping
+        send node TERM""",
+        f"""
+        send c1 raw '{SECOND}'
+        expect h1 request
+        send h1 ok body=y
+        expect c1 1 result y
+        expect c1 end
+        expect node exit 0""",
+        operator=PATIENT,
+    )
+
+
+def test_newcomers_do_not_push_out_a_client_within_a_line(tmp_path: Path) -> None:
+    others = "\n".join(f"send c{n} probe 1\nexpect c{n} 1 healthy" for n in range(2, 21))
+    play(
+        tmp_path,
+        f"""
+        send c1 part '{FIRST}'
+        {others}
+        expect c2 end
+        send c1 raw '{SECOND}'
+        expect h1 request
+        send h1 ok body=y
+        expect c1 1 result y
+        send c1 probe 2
+        expect c1 2 healthy""",
+        operator=f"{PATIENT}\nsockets = 20\nclient_fresh_ms = 0.001",
+    )
+
+
+def test_a_stalled_line_that_went_on_is_not_taken_for_the_next_one() -> None:
+    c = Connection()
+    c.send(line(1, "probe")[:30])
+    until(lambda: c.actor.partial, "half a line")
+    begun = c.actor.used
+    c.send(line(1, "probe")[30:] + line(2, "probe")[:30])
+    assert c.read(1) == [(1, 0)]
+    c.actor.tell(CloseIfIdle(stalled=begun))
+    until(lambda: c.actor.stopping, "told to close")
+    c.send(line(2, "probe")[30:])
+    assert c.read(1) == [(2, 0)]
+    c.close()
+
+
+def test_half_line_that_does_not_go_on_is_closed_at_a_stop() -> None:
+    f = Front(client_ask_ms=100.0, sweep_ms=20.0)
+    sock = f.connect(line(1)[:30])
+    until(lambda: any(c.partial for c in f.front.clients), "half a line")
+    f.front.tell(StopListening())
+    assert sock.recv(1) == b"" and f.front.empty.wait(PATIENCE)
+
+
+def test_listener_outlives_a_connection_that_was_reset_at_once() -> None:
+    class Reset:
+        closed = False
+
+        def setsockopt(self, *told: object) -> None:
+            raise OSError("reset")
+
+        def close(self) -> None:
+            self.closed = True
+
+    reset = Reset()
+    first = [(reset, ("127.0.0.1", 9))]
+    f = Front(lambda entry: first.pop() if first else entry.accept())
+    assert read(f.connect(line(1, "probe")), 1) == [(1, 0)]
+    assert reset.closed and f.log.totals == {"accept-failed": 1}
+
+
+def test_front_ends_with_its_listener_unless_that_was_closed_on_purpose() -> None:
+    f, broken = Front(), Event()
+    f.front.push(Yield(lambda sock, name: None))
+    until(lambda: f.front.yielded and not f.front.listeners, "the listener's end")
+    f.front.push(Resume())
+    assert read(f.connect(line(1, "probe")), 1) == [(1, 0)]
+
+    def fail(entry: socket.socket) -> None:
+        broken.wait()
+        raise ValueError("unforeseen")
+
+    f = Front(fail)
+    greenlet = f.front.greenlet
+    assert greenlet is not None
+    broken.set()
+    greenlet.join(PATIENCE)
+    assert greenlet.ready() and f.log.totals == {"greenlet-died": 1}
+
+
+def test_backlog_is_taken_before_the_listening_socket_closes() -> None:
+    asleep = Event()
+
+    def sleep(entry: socket.socket) -> None:
+        asleep.wait()
+        raise OSError("closed")
+
+    f = Front(sleep)
+    socks = [f.connect(line(n)) for n in (1, 2, 3)]
+    assert not f.front.clients
+    f.front.tell(StopListening())
+    until(lambda: len(f.core.offered) == 3, "offered")
+    for client in list(f.front.clients):
+        for call in list(client.ids):
+            client.served(call, b"y")
+    for n, sock in enumerate(socks, 1):
+        assert read(sock, 1) == [(n, 1)] and sock.recv(1) == b""
+    asleep.set()
+    assert f.front.empty.wait(PATIENCE)
+
+
+def answered(f: Front, sock: socket.socket) -> None:
+    """The stop waits for the call that came on its way through the front, and ends with its answer."""
+    until(lambda: f.core.offered, "offered")
+    assert not f.front.empty.is_set()
+    (client,) = f.front.clients
+    client.served(f.core.offered[1], b"")
+    assert read(sock, 1) == [(1, 0)] and f.front.empty.wait(PATIENCE)
+
+
+def test_stop_waits_for_a_connection_in_the_mailbox() -> None:
+    f = Front()
+    f.front.push(Yield(lambda sock, name: None))
+    until(lambda: f.front.yielded and not f.front.listeners, "the listener's end")
+    sock = f.connect(line(1))
+    served, _ = f.listening.accept()
+    f.front.tell(StopListening())
+    f.front.tell(Accepted(served, "c:1", asked=True))
+    answered(f, sock)
+
+
+def test_stop_waits_for_a_connection_that_the_listener_has_just_accepted() -> None:
+    held, release = list[object](), Event()
+
+    def hold(entry: socket.socket) -> object:
+        if held:
+            raise OSError("closed")
+        held.append(entry.accept())
+        release.wait()
+        return held[0]
+
+    f = Front(hold)
+    sock = f.connect(line(1))
+    until(lambda: held, "accepted")
+    f.front.tell(StopListening())
+    until(lambda: f.front.entry.fileno() < 0, "the entry closed")
+    assert not f.front.empty.is_set()
+    release.set()
+    answered(f, sock)
+
+
+def test_half_written_answer_is_written_to_its_end_at_a_stop() -> None:
+    f = Front()
+    sock = f.connect(line(1))
+    until(lambda: f.core.offered, "offered")
+    (client,) = f.front.clients
+    client.served(f.core.offered[1], BODY)
+    until(lambda: not client.box and client.outgoing.unsent, "a half written answer")
+    f.front.tell(StopListening())
+    until(lambda: client.stopping, "told to close")
+    assert not f.front.empty.is_set()
+    assert read(sock, 1) == [(1, len(BODY))] and sock.recv(1) == b""
+    assert f.front.empty.wait(PATIENCE)
