Let newcomers wait for room, long frames take their time, and start without descriptors

Change: the listener leaves newcomers in the backlog while a client is about to leave; the time counts from the last bytes; the handler looks whether there is a socket. Seen: without wait_for_room test_idle_clients_that_fill_the_descriptors_starve_neither_calls_nor_discovery fails.

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -395,11 +395,11 @@
                     for frame in link.decoder.feed(data):
                         heard.append(frame)
                 finally:
-                    # guards the good answers ahead of a bad frame; and a frame that has only begun wakes the
-                    # actor too, so that somebody looks whether its rest comes
-                    began, rest = link.part_since, bool(link.decoder.rest)
-                    link.part_since = (now_ms() if heard or began is None else began) if rest else None
-                    if heard or (began is None and rest):
+                    # good answers ahead of a bad frame count; and a frame that has only begun wakes the actor
+                    # too, so that somebody looks whether more of it comes: a long one may take its time
+                    began, partial = link.part_since, bool(link.decoder.rest)
+                    link.part_since = now_ms() if partial else None
+                    if heard or (began is None and partial):
                         self.push(Heard(link, heard))
         except frames.FrameError as error:
             reason = f"bad frame: {error}"
--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -60,7 +60,7 @@
     open: dict[int, Task] = field(default_factory=dict)
     used: float = 0.0
     asked: float | None = None  # since when something is owed an answer soon and nothing has come
-    part_since: float | None = None  # a frame has begun and its rest has not come; its reader alone writes it
+    part_since: float | None = None  # the last bytes of a frame not yet whole came then; set by its reader
     backlog: deque[Unsent] = field(default_factory=deque)
     waiting: bool = False  # a greenlet waits until the connection takes more
     ended: bool = False  # the host has closed it, or it failed; its reader alone writes it
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -52,6 +52,10 @@
     to: Callable[[socket.socket, str], object]
 
 
+class MakeRoom:
+    """Newcomers wait for a client to leave."""
+
+
 class Resume:
     """The other process has ended: clients are accepted here again."""
 
@@ -78,6 +82,7 @@
         self.clients: dict[ClientActor, bool] = {}  # whether it was told to leave
         self.few, self.most = limits.sockets // 2, limits.sockets * 2 // 3  # usual clients hold a third
         self.stopping, self.empty = False, Event()
+        self.room = Event()  # a client has gone
         self.listeners = 0  # greenlets that accept, or have accepted and still hold a connection
         self.yielded: PassOn | None = None
         self.listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -106,6 +111,7 @@
     def accept(self, entry: socket.socket) -> None:
         """The listener's greenlet, until its descriptor is closed."""
         while not self.over:
+            self.wait_for_room(entry)
             try:
                 sock, peer = entry.accept()
             except OSError as error:
@@ -118,6 +124,23 @@
             if (accepted := set_up(sock, peer, self.log)) is not None:
                 self.push(accepted)
 
+    def wait_for_room(self, entry: socket.socket) -> None:
+        """Newcomers wait in the backlog while clients hold all that they may and some of them are about to
+        leave. Where all are busy nobody waits: a newcomer is turned away at once, as it may try elsewhere."""
+        while entry.fileno() >= 0 and self.is_full() and self.may_leave():
+            self.room.clear()
+            self.tell(MakeRoom())
+            self.room.wait(self.limits.client_fresh_ms / 1000)
+
+    def is_full(self) -> bool:
+        """With those on their way through the mailbox."""
+        return len(self.clients) + sum(isinstance(m, Accepted) for m in self.box) >= self.most
+
+    def may_leave(self) -> bool:
+        """Whether some client has nothing open and is not within a line."""
+        now = now_ms()
+        return any(c.quiet(now) is not None and not c.partial for c in self.clients)
+
     def run(self) -> None:
         swept = stepped = now_ms()
         while not self.over:
@@ -148,6 +171,9 @@
                 self.accepted(sock, name, asked)
             case Gone(client):
                 self.clients.pop(client, None)
+                self.room.set()
+            case MakeRoom():
+                self.make_room()
             case Yield(to) if not self.stopping:
                 self.yielded = PassOn(to)
                 self.entry.close()
--- a/harrieryoke/state_transfer.py
+++ b/harrieryoke/state_transfer.py
@@ -208,7 +208,7 @@
     w.served = {kinds[name]: at for name, at in state.served.items() if name in kinds}
     if state.out and router.functions:
         router.take_out(w, dead=False)
-        w.dead, w.backoff = state.dead, state.backoff
+        w.dead, w.lost, w.backoff = state.dead, state.dead, state.backoff
     if state.started > w.started:
         w.started = state.started
         router.warm_at = max(router.warm_at, w.started + router.s.cold_period)
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -181,6 +181,7 @@
     def listen(self) -> None:
         """Listen at the path, replacing any other socket there."""
         aside = self.path.with_name(f"{self.path.name}.{os.getpid()}")
+        listening: socket.socket | None = None
         try:
             listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             with short_socket_path(aside) as name:
@@ -189,7 +190,8 @@
             os.replace(aside, self.path)
         except OSError as error:
             # this process serves all the same; its successor will bind the address for itself
-            listening.close()
+            if listening is not None:
+                listening.close()
             self.log("no-upgrade", f"a process that comes after will not find this one: {error}")
         else:
             if self.listening is not None:
