--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -70,7 +70,7 @@
 
     @property
     def load(self) -> int:
-        """Tasks that are out on it, and frames that are not yet written."""
+        """Tasks that are out on it, and frames that are not yet written whole; a half-written one is both."""
         return len(self.open) + len(self.backlog)
 
     def release(self, id: int) -> Task:
