Keep the ids of orders and probes away from those of requests

Cause: net/host.py numbered its own frames from 1, and since a request never goes over a link that holds its id, a request with a small id went by a second connection.

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -19,6 +19,7 @@
 from .answers import ENDS, FOUND, number, read_report
 from .link import HostSocket, Link, Unsent, host_socket
 
+FIRST_OWN_ID = 1 << 63  # of orders and probes; requests bring their ids, and must not meet these on a link
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 
 
@@ -107,7 +108,7 @@
         self.retune(settings)
         self.links: list[Link] = []
         self.places: dict[Task, tuple[Link, int]] = {}
-        self.serial = 0
+        self.serial = FIRST_OWN_ID
         self.retiring = False
 
     def retune(self, settings: i.Settings) -> None:
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -21,7 +21,7 @@
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net import frames
-from harrieryoke.net.host import HostActor, Lost, Standing, Writable
+from harrieryoke.net.host import FIRST_OWN_ID, HostActor, Lost, Standing, Writable
 from harrieryoke.net.link import HostSocket, Link, Unsent, host_socket
 
 PATIENCE = 20.0  # seconds for what should come at once
@@ -182,7 +182,7 @@
     stage.standing.drain, stage.standing.replaced = i.Drain.UP, False
     stage.send(marker)
     stage.until(lambda: stage.peers[0].heard)
-    assert stage.peers[0].heard == [(frames.HOLD, 1)] and stage.tries() == 0
+    assert stage.peers[0].heard == [(frames.HOLD, FIRST_OWN_ID + 1)] and stage.tries() == 0
 
 
 @pytest.mark.parametrize("news", NEWS)
