--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -299,7 +299,7 @@
         if link.open.get(id) is not task:
             link.backlog.remove(next(frame for frame in link.backlog if frame.task is task))
             return
-        link.release(id)
+        del link.open[id]
         if not link.open and not self.silent(link):
             link.asked = None  # what was given up early tells nothing of the host
         if isinstance(task, Attempt):
@@ -322,13 +322,10 @@
         take. None where the host can't be reached. Raises NoRoomForLinkError."""
         ask = isinstance(task, Order) and task.copies == 0
         id = int(task.call.rid, 16) if isinstance(task, Attempt) else None
-        further = isinstance(task, Attempt) and task.number > 0
         blocked: Link | None = None
         for link in reversed(self.links):
             quiet = now_ms() - link.asked if ask and link.asked is not None else 0.0
             free = not link.ended and link.load < self.limits.streams_per_link and not link.holds(id)
-            # a second, late answer to an earlier attempt would be taken for the answer to this one
-            free = free and not (further and id in link.finished)
             if free and quiet <= self.limits.dial_ms and not self.silent(link):
                 if not link.waiting:
                     return link
@@ -454,8 +451,7 @@
         if frame.code not in ENDS or probed == isinstance(task, Attempt | Order):
             self.log("bad-frame", f"{self.name}: code {frame.code} for {type(task).__name__}")
             return self.close(link, f"code {frame.code}")
-        link.release(frame.id)
-        del self.places[task]
+        del link.open[frame.id], self.places[task]
         link.used = now_ms()
         note = frame.fields.get("n", "")
         outcome = ENDS[frame.code]
--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -11,8 +11,6 @@
 from ..core.records import Task
 from . import frames
 
-FINISHED_IDS = 64  # the last ids of ended tasks that a link remembers
-
 
 class HostSocket(socket.socket):  # type: ignore[misc]  # gevent has no types
     """A connected socket of which reads wait and writes never do."""
@@ -66,18 +64,12 @@
     backlog: deque[Unsent] = field(default_factory=deque)
     waiting: bool = False  # a greenlet waits until the connection takes more
     ended: bool = False  # the host has closed it, or it failed; its reader alone writes it
-    finished: deque[int] = field(default_factory=lambda: deque(maxlen=FINISHED_IDS))
 
     @property
     def load(self) -> int:
         """Tasks that are out on it, and frames that are not yet written whole; a half-written one is both."""
         return len(self.open) + len(self.backlog)
 
-    def release(self, id: int) -> Task:
-        """Takes a task off the link that was answered, or given up."""
-        self.finished.append(id)
-        return self.open.pop(id)
-
     def holds(self, id: int | None) -> bool:
         """Whether a frame with this id is out on it or waits: a second one could not be told from it."""
         return id in self.open or any(frame.id == id for frame in self.backlog)
