--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -67,7 +67,7 @@
 
     @property
     def load(self) -> int:
-        """Tasks that are out on it, and frames that are not yet written."""
+        """Tasks that are out on it, and frames that are not yet written whole; a half-written one is both."""
         return len(self.open) + len(self.backlog)
 
     def holds(self, id: int | None) -> bool:
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -106,7 +106,7 @@
         self.reading.clear()
         large = attempt(0xA, body=body)
         self.send(large)
-        (link,) = self.links
+        link = self.links[-1]
         assert link.waiting and link.backlog[0].begun and large.begun
         return large, link
 
@@ -249,6 +249,16 @@
     assert sorted(stage.ends, key=lambda e: e[0] is large) == [(queued, NOT_SENT), (large, NOT_SENT)]
 
 
+def test_a_request_goes_rather_by_a_link_whose_host_reads(stages: Make) -> None:
+    stage, tasks = stages(Limits(streams_per_link=3), narrow=True), [attempt(n) for n in (1, 2, 3, 4)]
+    for task in tasks[:3]:
+        stage.send(task)
+    stage.blocked()
+    stage.give_up(tasks[0])
+    stage.send(tasks[3])
+    assert tasks[3].begun and stage.places[tasks[3]][0] is stage.links[0]
+
+
 def test_an_unload_that_has_not_begun_does_not_go_to_a_host_that_drains(stages: Make) -> None:
     stage, later = stages(narrow=True), attempt(2)
     stage.blocked()
