Let ended connections go at once, and leave gevent's patches out of the start

Cause: net/outgoing.py held its connection's callbacks, so each ended client was a cycle that stayed until the next full collection; net/client.py imported gevent.monkey, and with it logging, threading and string. Change: Outgoing lets go of its callbacks as it closes; the original poll is looked up only where patches are loaded.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import select
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-from gevent import monkey, socket
+from gevent import socket
 
 from ..core.actor import Actor, now_ms, spawn
 from ..core.calls import BadCall, CallMaker
@@ -36,13 +37,17 @@
 ANSWER_HEAD_BYTES = 256  # of an answer, beside its body
 LONG_ANSWERS = 4  # that may wait at once for a client that reads slowly
 
-# the original: where the standard library is patched for gevent, its stand-in does not know POLLRDHUP
-poll = monkey.get_original("select", "poll")
+
+def original_poll() -> Any:
+    """Where the standard library is patched for gevent, its stand-in for poll does not know POLLRDHUP.
+    gevent's patches are not imported for this: they would add 2 MB to a process that does without them."""
+    patches = sys.modules.get("gevent.monkey")
+    return select.poll if patches is None else patches.get_original("select", "poll")
 
 
 def has_hung_up(sock: socket.socket) -> bool:
     """Whether the peer has closed, half-closed or reset the connection, also behind bytes not yet read."""
-    poller = poll()
+    poller = original_poll()()
     poller.register(sock.fileno(), select.POLLRDHUP)
     return bool(poller.poll(0))
 
--- a/harrieryoke/net/outgoing.py
+++ b/harrieryoke/net/outgoing.py
@@ -11,6 +11,10 @@
 from ..log import Log
 
 
+def ignore(*_: object) -> None:
+    """The callback of what is closed."""
+
+
 class Outgoing:
     """The unsent messages of one socket. `put` never waits: what the socket does not take at once is written
     by a greenlet that exists only while something is unsent.
@@ -95,11 +99,14 @@
 
     def fail(self, reason: str) -> None:
         if not self.closed:
+            lost = self.lost
             self.close()
-            self.lost(reason)
+            lost(reason)
 
     def close(self) -> None:
-        """Nothing is written from here on."""
+        """Nothing is written from here on. The callbacks are let go of: they lead back here, and a cycle
+        keeps the memory of a connection that has ended until the next full collection."""
         self.closed = True
         self.unsent.clear()
         self.size = 0
+        self.sent = self.lost = ignore
