Force the passing on of a client where a process is killed at a hand-over

Cause: the points 'it passes the first client on' and 'the first client is passed on' wait for a client with nothing open. The load's calls share one connection, on which some call may be open all the time: then no client is passed on within 6 s. Change: an idle client comes before each hand-over. The assertions are as they were.

--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -7,6 +7,7 @@
 import sys
 
 import gevent
+from gevent import socket
 
 from harrieryoke.core.actor import now_ms
 from harrieryoke.lab.audit import orders_over_budget
@@ -85,6 +86,14 @@
     return (sys.executable, "-B", "-c", KILLER.replace("{point}", point))
 
 
+def idle_client(relays: Relays) -> socket.socket:
+    """A client with nothing open, passed on at once: those of the load may have a call open always."""
+    client = socket.create_connection(relays.listen, 6)
+    client.sendall(b'{"jsonrpc":"2.0","id":1,"method":"probe"}\n')
+    assert b"healthy" in client.recv(4096)
+    return client
+
+
 class Deaths:
     """What became of the calls round the ends of processes."""
 
@@ -126,7 +135,8 @@
     address = relays.manage
     for where, point in NEW.items():
         relays.command = armed(point)
-        deaths.wait(relays.launch(), where)
+        with idle_client(relays):
+            deaths.wait(relays.launch(), where)
         gevent.sleep(0.3)
     relays.manage, relays.process = address, serving
     load.kill()
@@ -145,13 +155,14 @@
     where = None
     for name, point in [*OLD.items(), (None, None)]:
         relays.command = PLAIN if point is None else armed(point)
-        old = relays.next()
-        if where is None:
-            end(old)
-        else:
-            if where == STOPPED:
-                old.send_signal(signal.SIGTERM)
-            deaths.wait(old, where)
+        with idle_client(relays):
+            old = relays.next()
+            if where is None:
+                end(old)
+            else:
+                if where == STOPPED:
+                    old.send_signal(signal.SIGTERM)
+                deaths.wait(old, where)
         where = name
         gevent.sleep(0.3)
     load.kill()
