--- /dev/null
+++ b/harrieryoke/core/clock.py
@@ -0,0 +1,31 @@
+"""The clocks of the process, and a watch over the one that can be set while it runs."""
+
+from __future__ import annotations
+
+import time
+
+NOTICEABLE_STEP_MS = (
+    50.0  # smaller differences are the slewing of the wall clock, or a pause between two readings
+)
+
+
+class WallClockWatch:
+    """Notices when the wall clock was set: it then moved by another span than the monotonic clock."""
+
+    def __init__(self) -> None:
+        self.offset = self.read_offset()
+
+    @staticmethod
+    def read_offset() -> float:
+        """Return by how many milliseconds the wall clock is ahead of the monotonic clock."""
+        return (time.time() - time.monotonic()) * 1000
+
+    def read_step(self) -> float:
+        """Return by how many milliseconds the wall clock was stepped since the last call; 0.0 for no step.
+        Negative where it was set back."""
+        offset = self.read_offset()
+        step = offset - self.offset
+        if abs(step) < NOTICEABLE_STEP_MS:
+            return 0.0
+        self.offset = offset
+        return step
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -14,6 +14,7 @@
 from ..limits import Limits
 from ..log import Log
 from .actor import Actor, now_ms
+from .clock import WallClockWatch
 from .metrics import Metrics
 from .records import (
     Attempt,
@@ -37,7 +38,7 @@
     Wished,
     Withdrawn,
 )
-from .table import RequestTable
+from .table import Entry, RequestTable
 
 LOADED = (i.Found.BEGAN_LOAD, i.Found.WAITED)
 
@@ -56,8 +57,11 @@
         self.router = Router(settings, seed)
         self.figures = Metrics(c.name for c in settings.classes)
         self.limits, self.recounted = limits, 0.0
-        self.table = RequestTable(settings, limits, self.figures)
+        self.table = RequestTable(settings, limits, self.figures, log)
+        self.wall_clock = WallClockWatch()
+        self.hosts_out = 0  # as last logged
         self.ports: dict[int, HostPort] = {}
+        self.names: dict[int, str] = {}  # of the hosts that have a port
         self.entries: dict[int, i.WorkerEntry] = {}
         self.timers: list[tuple[float, str]] = []  # a heap
         self.slack = limits.timer_slack_ms
@@ -151,6 +155,23 @@
             self.box.clear()
             self.emptied.set()
             self.step(stepped, messages)
+            self.log_state()
+
+    def log_state(self) -> None:
+        """Log what changed by itself: the wall clock, and how many model hosts the router leaves out."""
+        if step := self.wall_clock.read_step():
+            self.log(
+                "clock-stepped",
+                f"the wall clock was set {'ahead' if step > 0 else 'back'} by {abs(step):.0f} ms",
+            )
+        if self.router.outs != self.hosts_out:
+            self.hosts_out = self.router.outs
+            out = sorted(self.host_name(number) for number, w in self.router.workers.items() if w.out)
+            self.log("hosts-out", f"{len(out)} of {len(self.router.workers)}: {', '.join(out) or 'none'}")
+
+    def host_name(self, worker: int) -> str:
+        """Return a model host's name for the log; its number where it has left the list."""
+        return self.names.get(worker, str(worker))
 
     def next_time(self) -> float:
         """At most a second ahead, so that a step of the system's clock cannot put it to sleep for long."""
@@ -230,12 +251,14 @@
 
     def listed(self, m: Listed, now: float) -> i.Event | None:
         if m.event.scope is not i.ListScope.CHANGES:
-            self.ports, self.entries = {}, {}
+            self.ports, self.entries, self.names = {}, {}, {}
         self.ports.update(m.ports)
+        self.names.update({worker: host.name for worker, host in m.names.items()})
         self.entries.update({e.worker: e for e in m.event.workers})
         for gone in [worker for worker, e in self.entries.items() if e.drain is i.Drain.GONE]:
             # guards the memory against hosts that are replaced under ever new ids
             self.ports.pop(gone, None)
+            self.names.pop(gone, None)
             del self.entries[gone]
         if self.gate is not None:
             self.gate.listed(m)
@@ -308,7 +331,12 @@
 
     def start_attempt(self, a: i.StartAttempt, now: float) -> None:
         if entry := self.table.entries.get(a.request):
-            self.begin(self.table.attempt(entry, a.worker, a.stop_at or entry.due, now), now)
+            attempt = self.table.attempt(entry, a.worker, a.stop_at or entry.due, now)
+            if attempt.number:
+                self.log(
+                    "retry", f"{entry.call.rid} at {self.host_name(a.worker)}: {self.progress(entry, now)}"
+                )
+            self.begin(attempt, now)
 
     def cancel_attempt(self, a: i.CancelAttempt, now: float) -> None:
         if task := self.table.attempts.get((a.request, a.attempt)):
@@ -316,18 +344,33 @@
 
     def refuse(self, a: i.Refuse, now: float) -> None:
         if entry := self.table.entries.get(a.request):
+            self.log("refused", f"{entry.call.rid}: {self.progress(entry, now)}")
             self.table.refuse(entry, a.retry_after)
 
     def fail(self, a: i.Fail, now: float) -> None:
         if entry := self.table.entries.get(a.request):
+            self.log("failed", f"{entry.call.rid}: {self.progress(entry, now)}")
             self.table.fail(entry, "not served")
 
+    def progress(self, entry: Entry, now: float) -> str:
+        """Say for the log how far a request has come, and how the last attempt of it ended."""
+        ran = f", may have run since {now - entry.ran_since:.0f} ms" if entry.may_have_run else ""
+        last = f", the last one ended {entry.last_outcome.value}" if entry.last_outcome else ""
+        waited = now - entry.call.taken
+        return (
+            f"{entry.attempts} attempts{last}{ran}; taken {waited:.0f} ms ago, {entry.due - now:.0f} ms left"
+        )
+
     def order_copies(self, a: i.OrderCopies, now: float) -> None:
         order = Order(a.worker, now + self.settings.order_timeout, now, function=a.function, copies=a.copies)
         spare = not self.leading and all(e.call.function != a.function for e in self.table.entries.values())
         if a.copies and (now < self.orders_from or spare):
             self.echo(TaskEnded(order, i.Outcome.FULL), now)
         else:
+            if a.copies:
+                ordered, arrived = len(self.router.ordered), len(self.router.arrivals)
+                counts = f"{ordered} orders and {arrived} requests in the window"
+                self.log("order", f"{a.function} at {self.host_name(a.worker)}: {counts}")
             self.begin(order, now)
 
     def drop_copies(self, a: i.DropCopies, now: float) -> None:
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -6,6 +6,7 @@
 
 from .. import interface as i
 from ..limits import Limits
+from ..log import Log
 from .metrics import Metrics
 from .records import Attempt, Call, Front, HostPort, Task, TaskEnded, Watcher
 from .timing_wheel import TimingWheel
@@ -23,6 +24,7 @@
     due: float
     attempts: int = 0
     ran_since: float = float("inf")  # when the first attempt that may have run was sent
+    last_outcome: i.Outcome | None = None  # of the attempt that ended last
     flying: list[Attempt] = field(default_factory=list)
 
     @property
@@ -33,8 +35,8 @@
 class RequestTable:
     """Owned by the module actor. Tasks that are out end here once, by their host or by their time."""
 
-    def __init__(self, settings: i.Settings, limits: Limits, figures: Metrics) -> None:
-        self.settings, self.limits, self.figures = settings, limits, figures
+    def __init__(self, settings: i.Settings, limits: Limits, figures: Metrics, log: Log) -> None:
+        self.settings, self.limits, self.figures, self.log = settings, limits, figures, log
         self.watchers: list[Watcher] = []  # hear of each end
         self.entries: dict[int, Entry] = {}
         self.numbers: dict[Call, int] = {}
@@ -58,6 +60,8 @@
         due = min(call.due, self.latest) - self.limits.answer_margin_ms
         full = len(self.entries) >= self.limits.open_calls or self.held + len(call.body) > self.most
         if full or due <= now:
+            reason = "the request table is full" if full else f"its time was over by {now - due:.0f} ms"
+            self.log("refused", f"{call.rid}: {reason} when it came")
             # guards the memory, which is hard: what is open may not hold more than its share of it. Nothing
             # was sent: a full table or a time already over is a plain refusal
             self.tell_watchers(call, "refused")
@@ -169,6 +173,7 @@
             del self.attempts[task.request, task.number]
             if entry := self.entries.get(task.request):
                 entry.flying.remove(task)
+                entry.last_outcome = ended.outcome
                 if ended.outcome not in NEVER_RAN:
                     entry.ran_since = min(entry.ran_since, task.sent)
         return ended
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -423,6 +423,8 @@
         link.backlog.clear()
         if whole or unwritten:
             self.log("link-lost", f"{self.name}: {reason}; {len(whole)} out, {len(unwritten)} not written")
+        else:
+            self.log("link-closed", f"{self.name}: {reason}")
         for task in whole + unwritten:
             del self.places[task]
             self.end(task, i.Outcome.RESET if task in whole else i.Outcome.NOT_SENT)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -153,6 +153,7 @@
                 stepped = stepped if 0 <= now - swept < 4 * self.limits.sweep_ms else now
                 swept = now
                 for client in [c for c in self.clients if c.stale(now, stepped)]:
+                    self.log("client-closed", f"{client.client}: it was silent for too long")
                     self.clients[client] = client.close_stale()
                 self.send_away()
 
@@ -162,7 +163,9 @@
             for client in [c for c, leaves in self.clients.items() if not leaves]:
                 self.clients[client] = client.tell(self.yielded)
 
-    def dismiss(self, client: ClientActor) -> None:
+    def dismiss(self, client: ClientActor, reason: str) -> None:
+        """Have the connection closed once nothing is open on it."""
+        self.log("client-closed", f"{client.client}: {reason}")
         self.clients[client] = client.tell(CloseIfIdle())
 
     def receive(self, message: Any) -> None:
@@ -198,7 +201,7 @@
         self.listening.close()
         self.send_away()
         for client in [c for c, leaves in self.clients.items() if not leaves]:
-            self.dismiss(client)
+            self.dismiss(client, "the process stops")
 
     def take_backlog(self) -> None:
         """Connections that the machine has accepted and nobody has taken: the close would reset them."""
@@ -227,7 +230,7 @@
         self.clients[client], client.asked = False, asked
         client.start()
         if self.stopping:
-            self.dismiss(client)
+            self.dismiss(client, "the process stops")
 
     def make_room(self) -> None:
         """The client that has been quiet longest leaves, unless it is within a line: a newcomer most likely
@@ -237,4 +240,4 @@
         staying = [c for c, leaves in self.clients.items() if not leaves and not c.partial]
         quiet = {c: q for c in staying if (q := c.quiet(now)) is not None}
         if quiet and max(quiet.values()) > self.limits.client_fresh_ms:
-            self.dismiss(max(quiet, key=quiet.__getitem__))
+            self.dismiss(max(quiet, key=quiet.__getitem__), "a newcomer needs room")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
+from types import MappingProxyType
 from typing import Any
 
 import pytest
@@ -12,6 +14,7 @@
 from harrieryoke.core.records import Attempt, Call, Listed, Stopping, Taken, Task, TaskEnded, Withdrawn
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
+from harrieryoke.state import Worker
 
 from .rig import SETTINGS
 
@@ -49,6 +52,11 @@
 class Script:
     """In the module's place: answers each round with the next of the test's lists of actions."""
 
+    ordered: tuple[float, ...] = ()  # what the actor reads of a router for its log
+    arrivals: tuple[float, ...] = ()
+    workers: Mapping[int, Worker] = MappingProxyType({})
+    outs = 0
+
     def __init__(self, *rounds: list[i.Action]) -> None:
         self.rounds, self.heard = list(rounds), list[i.Event]()
 
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -322,7 +322,7 @@
     effect: i.Effect, ends: list[i.Outcome | None], start_by: float
 ) -> None:
     kind = i.RequestClass("read", 500, 2000, effect=effect, group=i.Group.ALL, repeat_window=300)
-    table, port = RequestTable(i.Settings((kind,), tick=2), Limits(), Metrics()), Port()
+    table, port = RequestTable(i.Settings((kind,), tick=2), Limits(), Metrics(), Log()), Port()
     table.take(Call("1", 0, "f", 9000.0), port, 1000.0)
     entry = table.entries[1]
     for turn, outcome in enumerate(ends):
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -110,6 +110,8 @@
 class Single:
     """In the module's place: one attempt for each call, at one host; what ends otherwise is refused."""
 
+    outs = 0  # the actor reads it for its log
+
     def __init__(self, worker: int) -> None:
         self.worker, self.heard = worker, list[i.Event]()
 
@@ -146,7 +148,7 @@
         self.log = Quiet()
         self.core = ModuleActor(SETTINGS, 7, Limits(), self.log, self.clock)
         self.script = self.core.router = Single(worker)  # type: ignore[assignment]
-        self.table = self.core.table = kind(SETTINGS, Limits(), self.core.figures)
+        self.table = self.core.table = kind(SETTINGS, Limits(), self.core.figures, self.log)
         self.table.watchers.append(self)
         self.calls = [Call(f"{n:016x}", 0, "f", 1100.0 + n) for n in (1, 2)]
 
