--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults on purpose, for real processes: nothing of this is in the program."""
