Measure every span on the monotonic clock, and take starts of model hosts from no wall clock

The same difference decides whether a keyed request may go out again, and exp2() of it overflows after an hour back.

Change: now_ms() is the monotonic clock (core/clock.py); wall_ms() is for what people, files and other machines read: the ledger's entries and periods, records of the store, the log. A host's started_ms, which is another machine's wall clock, is no longer compared with ours: net/host_starts.py puts a start that is told while we follow the list at the moment it is heard, and those of the first list no further back than both the list and the wall clock say. A hand-over says on which clock its times are (version 2; version 1 is still read).

--- a/harrieryoke/admin/server.py
+++ b/harrieryoke/admin/server.py
@@ -9,7 +9,8 @@
 from gevent import socket
 from gevent.event import AsyncResult
 
-from ..core.actor import now_ms, spawn
+from ..core.actor import spawn
+from ..core.clock import now_ms
 from ..core.metrics import Metrics
 from ..errors import Busy, CallTooLong, NotReady, OperatorError, UnfinishedCall, UnknownServer
 from ..limits import Limits
--- a/harrieryoke/background/runner.py
+++ b/harrieryoke/background/runner.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..core.actor import Actor, now_ms
+from ..core.actor import Actor
+from ..core.clock import now_ms
 from ..log import Log
 from .decide.schedule import Ended, Job, Schedule
 from .settings import BackgroundSettings
--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -68,7 +68,7 @@
             started = NEVER if e.started is None else e.started
             first = Load(STRAINED / 2, max(2.0, FIRST_LIMIT / self.s.front_ends))
             w = self.workers.setdefault(e.worker, Worker(e, NEVER, digest(str(e.worker)), first))
-            if started > w.started:
+            if started > w.started and not w.knows_start(e):
                 self.back(w)
                 self.begin_cold(w, started)
                 w.slow, w.load, w.backoff = 1.0, first, 0.0
--- a/harrieryoke/core/actor.py
+++ b/harrieryoke/core/actor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -14,11 +13,6 @@
 from ..log import Log
 
 
-def now_ms() -> float:
-    """Return the system's Unix time in milliseconds: the only clock of the invoker."""
-    return time.time() * 1000
-
-
 def spawn(
     log: Log, name: str, run: Callable[[], object], ended: Callable[[], object] | None = None
 ) -> gevent.Greenlet:
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -13,8 +13,8 @@
 from ..brain import Router
 from ..limits import Limits
 from ..log import Log
-from .actor import Actor, now_ms
-from .clock import WallClockWatch
+from .actor import Actor
+from .clock import WallClockWatch, now_ms
 from .metrics import Metrics
 from .records import (
     Attempt,
--- a/harrieryoke/council/disk.py
+++ b/harrieryoke/council/disk.py
@@ -28,7 +28,8 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from ..core.actor import now_ms, spawn
+from ..core.actor import spawn
+from ..core.clock import now_ms, wall_ms
 from ..log import Log
 from ..store.actor import HEAD, StoreKeeper
 from ..store.decide.segment import Record
@@ -87,7 +88,7 @@
         RealFiles(os.path.dirname(os.path.abspath(self.folder))).sync_folder()
 
     def aside(self) -> str:
-        name = f"{self.folder}.lost-{int(now_ms())}"
+        name = f"{self.folder}.lost-{int(wall_ms())}"
         os.rename(self.folder, name)
         os.makedirs(self.folder, mode=0o750)
         self.sync_parent()
@@ -289,7 +290,7 @@
                 kind, payload = HARD if isinstance(record, Hard) else ENTRY, ENCODE((promised, record))
             if not self.keeper.room(HEAD + len(payload)):
                 break
-            seq = self.keeper.append(now_ms(), kind, b"", payload)
+            seq = self.keeper.append(wall_ms(), kind, b"", payload)
             assert seq is not None
             self.waiting.popleft()
             self.state.add(record)
--- a/harrieryoke/door/actor.py
+++ b/harrieryoke/door/actor.py
@@ -11,7 +11,8 @@
 from gevent.event import AsyncResult
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms, waited
+from ..core.actor import Actor, waited
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Asked, Call, Ended, Front, Retuned, Stopping, Taken, Withdrawn
 from ..core.timing_wheel import TimingWheel
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -170,7 +170,8 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """One line of the worker list. `started` is None where the start lies long past."""
+    """One line of the worker list. `started` is None where the start lies long past. `start_stamp` is the
+    list's own mark of that start: equal stamps mean the same start, whatever `started` says."""
 
     worker: int
     zone: int = 0
@@ -179,6 +180,7 @@
     drain: Drain = Drain.UP
     size: float = 1.0
     started: float | None = None
+    start_stamp: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/harrieryoke/lab/clients.py
+++ b/harrieryoke/lab/clients.py
@@ -11,7 +11,7 @@
 import msgspec
 from gevent import socket
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms
 
 
 @dataclass(slots=True)
--- a/harrieryoke/lab/door.py
+++ b/harrieryoke/lab/door.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms
 from . import audit, structures
 from .clients import Sent, Tenant
 from .hosts import Shape
--- a/harrieryoke/lab/hosts.py
+++ b/harrieryoke/lab/hosts.py
@@ -14,7 +14,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms, wall_ms
 from ..net import frames
 
 
@@ -85,7 +85,7 @@
             "cell": 0,
             "state": self.state,
             "weight": 1,
-            "started_ms": self.started,
+            "started_ms": self.started,  # on the wall clock, as of another machine
         }
 
     # --- troubles ---
@@ -108,7 +108,7 @@
     def restart(self) -> None:
         """It comes back at the same address, cold and empty."""
         self.stop()
-        self.started = now_ms()
+        self.started = wall_ms()
         self.listen()
 
     # --- its work ---
--- a/harrieryoke/lab/ledger.py
+++ b/harrieryoke/lab/ledger.py
@@ -14,7 +14,7 @@
 
 import gevent
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms, wall_ms
 from ..ledger.wire.codec import pb
 from . import audit, storage
 from .clients import Sent
@@ -156,7 +156,7 @@
     that it has of an epoch to the begin of the instance's next one."""
     entries = collector.entries()
     known = {e.call for e in entries}
-    outside = 0
+    outside, wall_ahead = 0, wall_ms() - now_ms()  # entries and epochs are on the wall clock
     for n, world in enumerate(worlds):
         began = sorted({(h.epoch, h.started_ms) for h in collector.hellos if h.instance == f"n{n}"})
         last: dict[int, int] = {}
@@ -169,5 +169,5 @@
         ]
         for call in world.load.calls:
             if call.answers and call.rid not in known:
-                outside += not any(begin - 50 <= call.answered <= end for begin, end in gaps)
+                outside += not any(begin - 50 <= call.answered + wall_ahead <= end for begin, end in gaps)
     return outside
--- a/harrieryoke/lab/world.py
+++ b/harrieryoke/lab/world.py
@@ -15,7 +15,7 @@
 import msgspec
 from gevent import socket
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms, wall_ms
 from . import audit
 from .clients import Load, Sent, Tenant
 from .hosts import Arrived, EmulatedBus, EmulatedHost, Shape
@@ -223,7 +223,7 @@
         """It drains, goes, and another stands in for it."""
         host.state = "leaving"
         fresh = self.host()
-        fresh.started = now_ms()
+        fresh.started = wall_ms()
         self.hosts.append(fresh)
         self.bus.tell([host, fresh])
 
--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -15,7 +15,8 @@
 from .. import interface as i
 from ..background.decide.schedule import Job
 from ..background.runner import Runner, Slice
-from ..core.actor import Actor, now_ms, waited
+from ..core.actor import Actor, waited
+from ..core.clock import now_ms, wall_ms
 from ..core.records import Asked, Call, Ended, Front, Retuned
 from ..log import Log
 from ..state import Bucket
@@ -95,9 +96,9 @@
     ) -> None:
         super().__init__("ledger", mailbox, log)
         self.told, self.settings, self.instance = told, settings, instance
-        now = now_ms()
-        # new with each start, also without a disk and after a clock that stepped back
-        self.epoch = int(now) << 20 | secrets.randbits(20)
+        began_at = int(wall_ms())
+        # new with each start, also without a disk and after a wall clock that was set back
+        self.epoch = began_at << 20 | secrets.randbits(20)
         periods = Periods(told.period_s * 1000, told.grace_s * 1000)
         book = Book(instance, self.epoch, periods, int(told.key_window_s * 1000))
         collector = told.collector
@@ -118,7 +119,9 @@
         self.keeper: StoreKeeper | None = None
         if store is not None:
             try:
-                self.keeper = StoreKeeper(store, log, self.replay, lambda data: self.ledger.load(data, now))
+                self.keeper = StoreKeeper(
+                    store, log, self.replay, lambda data: self.ledger.load(data, now_ms())
+                )
             except BookError as error:
                 raise StoreError(f"store.folder: {error}") from None
             self.keeper.watch = lambda durable: self.wake()
@@ -127,9 +130,9 @@
                 log("ledger-damaged", words)
         self.sealed: Callable[[int], object] = lambda period: None  # a period has been closed
         self.wanted: Callable[[], object] = lambda: None  # tells the export that there may be something to do
-        began = Began(instance, self.epoch, int(now))
+        began = Began(instance, self.epoch, began_at)
         self.ledger.epochs[self.epoch] = began
-        self.keep(now, EPOCH, b"", PACK(began))
+        self.keep(EPOCH, b"", PACK(began))
 
     def replay(self, record: Record) -> None:
         self.ledger.replay(record.kind, record.seq, record.payload, now_ms())
@@ -141,7 +144,7 @@
 
     def answered(self, call: Call, how: str, deliver: Callable[[], object]) -> None:
         if not self.tell(Answered(call, how, deliver)):
-            self.miss(now_ms())
+            self.miss()
             deliver()
 
     def ended(self, call: Call, how: str) -> None:
@@ -149,13 +152,14 @@
         if self.holds and how != "withdrawn":
             return
         if not self.tell(Ended(call, how)):
-            self.miss(now_ms())
+            self.miss()
 
-    def miss(self, at: float) -> None:
+    def miss(self) -> None:
         """Nothing may wait for the ledger: what it can't take is counted, and told in a gap."""
+        at = int(wall_ms())
         self.counts["missed"] += 1
-        self.missed_first = self.missed_first if self.missed else int(at)
-        self.missed, self.missed_last = self.missed + 1, int(at)
+        self.missed_first = self.missed_first if self.missed else at
+        self.missed, self.missed_last = self.missed + 1, at
 
     # --- the loop ---
 
@@ -174,7 +178,7 @@
             self.wait(min(TICK_MS, soonest - now_ms()))
             self.work()
             self.release()
-            self.tick(now_ms())
+            self.tick()
 
     def release(self) -> None:
         """Answers leave once their entries are durable, or when they may wait no longer: then `unsure` counts
@@ -204,20 +208,23 @@
         self.held.clear()
         self.box.clear()
 
-    def tick(self, now: float) -> None:
+    def tick(self) -> None:
+        """Periods are stretches of the wall clock, and so is what a gap tells of."""
+        now = int(wall_ms())
         if self.missed and self.room():
             count, self.missed = self.missed, 0
             said = f"{count} entries found no room"
-            self.write(self.ledger.book.gap(int(now), self.missed_first, self.missed_last, said), now)
-        for number in self.ledger.book.periods.due(int(now)) if self.room() else ():
-            self.seal(number, now)
+            self.write(self.ledger.book.gap(now, self.missed_first, self.missed_last, said))
+        for number in self.ledger.book.periods.due(now) if self.room() else ():
+            self.seal(number)
 
-    def seal(self, number: int, now: float) -> str:
+    def seal(self, number: int) -> str:
         """Raises PeriodError for a period that can't be closed now."""
         if not self.room():
             raise PeriodError("the store takes nothing just now")
-        period = self.ledger.book.seal(number, int(now))
-        self.keep(now, SEAL, b"", PACK(Sealed(number, period.sealed, int(now))))
+        now = int(wall_ms())
+        period = self.ledger.book.seal(number, now)
+        self.keep(SEAL, b"", PACK(Sealed(number, period.sealed, now)))
         gaps = f", {period.gaps} gaps in it" if period.gaps else ""
         self.sealed(number)
         self.log("period-sealed", f"{number}: {period.sealed}{gaps}", period=number, gaps=period.gaps)
@@ -248,7 +255,7 @@
         """The record's number, or None where there is no room."""
         now = now_ms()
         if not self.room():
-            self.miss(now)
+            self.miss()
             return None
         kind = self.settings.classes[call.class_index]
         tenant, over = NO_TENANT, False
@@ -259,7 +266,7 @@
             over = rate > 0 and not share.take(now, rate / 1000, max(1.0, rate))
         took = max(0, int(now - call.taken)) if call.taken else 0
         use = Use(
-            int(now),
+            int(wall_ms()),
             tenant,
             kind.name,
             how,
@@ -273,27 +280,27 @@
             call.rid,
         )
         self.counts[how] += 1
-        return self.write(self.ledger.book.use(use), now)
+        return self.write(self.ledger.book.use(use))
 
-    def write(self, entry: Entry, now: float, root: Id | None = None) -> int:
+    def write(self, entry: Entry, root: Id | None = None) -> int:
         """Keeps an entry that the book has made. A correction stands under the key of what it corrects in the
         end, and its own key points there."""
-        seq = self.keep(now, entry.kind, (root or entry.id).key(), entry.encode())
+        seq = self.keep(entry.kind, (root or entry.id).key(), entry.encode())
         if root is not None:
-            self.keep(now, POINTER, entry.id.key(), PACK(root))
+            self.keep(POINTER, entry.id.key(), PACK(root))
         if self.keeper is None:
             self.memory[seq] = entry
-        self.ledger.entered(seq, entry, now)
+        self.ledger.entered(seq, entry, now_ms())
         if len(self.ledger.fresh) >= self.ledger.batch:
             self.wanted()
         return seq
 
-    def keep(self, now: float, kind: int, key: bytes, payload: bytes) -> int:
+    def keep(self, kind: int, key: bytes, payload: bytes) -> int:
         """`room` was asked before; what is told besides entries is small and finds room."""
         self.serial += 1
         if self.keeper is None:
             return self.serial
-        seq = self.keeper.append(now, kind, key, payload)
+        seq = self.keeper.append(wall_ms(), kind, key, payload)
         if seq is None:
             raise BookError("the store's queue is full")
         return seq
@@ -322,7 +329,7 @@
         while self.room() and (run := self.ledger.due(now, durable, flush)):
             batch = self.ledger.cut(run, digest(entry_bytes(f.entry) for f in run))
             cut = Cut(*batch.id, batch.first, batch.last, batch.begin, batch.end, batch.digest)
-            self.cut_seqs[batch.id] = self.keep(now, CUT, b"", PACK(cut))
+            self.cut_seqs[batch.id] = self.keep(CUT, b"", PACK(cut))
         waiting = self.ledger.export.waiting
         # guards against a crash after the sending: what was sent under a number must be cut the same again
         if not waiting or self.cut_seqs.get(waiting[0], 0) > self.durable():
@@ -361,7 +368,7 @@
         if reason:
             self.log("batch-aside", f"{id.epoch:x}/{id.number}: {reason}", batch=id.number)
         if self.room():
-            self.keep(now_ms(), DONE, b"", PACK(Done(id.epoch, id.number, reason)))
+            self.keep(DONE, b"", PACK(Done(id.epoch, id.number, reason)))
         if self.keeper is None:
             needed = self.ledger.needed(self.serial + 1)
             self.memory = {seq: entry for seq, entry in self.memory.items() if seq >= needed}
@@ -398,19 +405,19 @@
 
     def lost(self, first: int, last: int) -> None:
         """The disk's budget was spent while the collector was away: the oldest went, and totals say so."""
-        now, batches = int(now_ms()), self.ledger.lose(first, last)
+        now, batches = int(wall_ms()), self.ledger.lose(first, last)
         words = f"records {first} to {last} went for want of room, {len(batches)} batches not exported"
         self.log("ledger-lost", words)
         if batches and self.room():
-            self.write(self.ledger.book.gap(now, first, last, words), float(now))
+            self.write(self.ledger.book.gap(now, first, last, words))
         elif batches:
-            self.miss(float(now))  # the gap is told as soon as there is room
+            self.miss()  # the gap is told as soon as there is room
 
     # --- the operators ---
 
     def close_period(self, number: int) -> str:
         """Raises PeriodError."""
-        return self.ask(lambda: self.seal(number, now_ms()))
+        return self.ask(lambda: self.seal(number))
 
     def correct(self, id: Id, to: Amounts, reason: str) -> Entry:
         """Raises BookError for what is not there or can't be corrected."""
@@ -428,8 +435,8 @@
         def enter() -> Entry:
             if not self.room():
                 raise BookError("the store takes nothing just now")
-            entry = self.ledger.book.correct(named, earlier, to, reason, int(now_ms()))
-            self.write(entry, now_ms(), root)
+            entry = self.ledger.book.correct(named, earlier, to, reason, int(wall_ms()))
+            self.write(entry, root)
             return entry
 
         return self.ask(enter)
--- a/harrieryoke/ledger/link.py
+++ b/harrieryoke/ledger/link.py
@@ -20,7 +20,8 @@
 
 from ..background.decide.schedule import Job
 from ..background.runner import Runner, Slice
-from ..core.actor import now_ms, spawn
+from ..core.actor import spawn
+from ..core.clock import now_ms
 from ..log import Log
 from ..wire.frames import Decoder, WireError, encode
 from .actor import LedgerActor
--- a/harrieryoke/ledger/reconciler.py
+++ b/harrieryoke/ledger/reconciler.py
@@ -16,7 +16,7 @@
 from typing import Any, Protocol
 
 from ..background.runner import Slice
-from ..core.actor import now_ms
+from ..core.clock import now_ms
 from ..log import Log
 from .actor import LedgerActor
 from .decide.reconcile import Session
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -19,8 +19,9 @@
 from paho.mqtt.subscribeoptions import SubscribeOptions
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
 from ..core.calls import CallMaker
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Call, Counted
 from ..limits import Limits
--- a/harrieryoke/net/bus_follower.py
+++ b/harrieryoke/net/bus_follower.py
@@ -9,7 +9,8 @@
 import gevent
 from gevent import socket
 
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
+from ..core.clock import now_ms
 from ..limits import Limits
 from ..log import Log
 from .hostlist_model import BusSaid, ListReplaced, ListUpdate, Snapshot, decode_line, read_update
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -11,8 +11,9 @@
 import msgspec
 from gevent import socket
 
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
 from ..core.calls import BadCall, CallMaker
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Call
 from ..limits import Limits
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -10,7 +10,8 @@
 from gevent import socket
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
+from ..core.clock import now_ms
 from ..core.metrics import Metrics
 from ..core.records import Attempt, Order, Task, TaskEnded
 from ..limits import Limits
--- /dev/null
+++ b/harrieryoke/net/host_starts.py
@@ -0,0 +1,56 @@
+"""When each listed model host last started, on the clock of this process.
+
+The list's `started_ms` is read off the wall clock of another machine, and the wall clock of this one may be
+wrong, or set while the process runs. So the two are never trusted to agree: a start that is told while the
+process follows the list counts from the moment it is heard of, and of the starts that lay before this process
+one is held for as old as both the list and the wall clock say. A host may be held for colder than it is by
+that, and never for warmer while the list's times come from one clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..core.clock import now_ms, wall_ms
+from .hostlist_model import Server
+
+
+@dataclass(frozen=True, slots=True)
+class HostStart:
+    """One start: the list's time for it, and the same moment on the clock of this process, both in
+    milliseconds."""
+
+    stamp: float
+    at: float
+
+
+class HostStarts:
+    """Remembers a start for each host that is listed with one. Owned by the list's actor."""
+
+    def __init__(self, clock: Callable[[], float] = now_ms, wall: Callable[[], float] = wall_ms) -> None:
+        self.clock, self.wall = clock, wall
+        self.starts: dict[str, HostStart] = {}
+
+    def learn_earlier(self, servers: Iterable[Server]) -> None:
+        """Take the starts of the first list, which lay before this process. The newest of them may have been
+        just now; the others are older by what the list says, unless the wall clock says less."""
+        stamps = {server.id: server.started_ms for server in servers if server.started_ms}
+        newest, now, wall = max(stamps.values(), default=0.0), self.clock(), self.wall()
+        for id, stamp in stamps.items():
+            age = max(0.0, min(newest, wall) - stamp)
+            self.starts[id] = HostStart(stamp, now - age)
+
+    def read(self, server: Server) -> HostStart | None:
+        """Return the start that the list tells of; None where it lies long past."""
+        if not server.started_ms:
+            self.forget(server.id)
+            return None
+        known = self.starts.get(server.id)
+        if known is None or known.stamp != server.started_ms:
+            known = self.starts[server.id] = HostStart(server.started_ms, self.clock())
+        return known
+
+    def forget(self, id: str) -> None:
+        """The host has left the list."""
+        self.starts.pop(id, None)
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -15,6 +15,7 @@
 from ..log import Log
 from .bus_follower import BusFollower
 from .host import HostActor, Retire, Standing
+from .host_starts import HostStarts
 from .hostlist_model import (
     DRAINS,
     BadServerError,
@@ -102,6 +103,7 @@
         self.figures = figures
         self.hosts: dict[str, tuple[Standing, HostActor]] = {}
         self.servers: dict[str, Server] = {}  # the list's last word on each, the latest last
+        self.starts = HostStarts()
         self.banned: set[str] = set()
         self.keep: Callable[[str, bool], object] = lambda id, on: None  # so that it outlives the process
 
@@ -115,6 +117,7 @@
                 for server in update.servers.values():
                     self.remember(server)
                 snapshot.take(update)
+        self.starts.learn_earlier(snapshot.servers.values())
         self.apply(list(snapshot.servers.values()), i.ListScope.REMEMBERED)
 
     def bans(self) -> list[str]:
@@ -136,6 +139,8 @@
         """An event. Hosts of spoilt entries keep their former state."""
         self.report_bad(update)
         servers = list(update.servers.values())
+        if update.whole and not self.hosts:
+            self.starts.learn_earlier(servers)
         if not update.whole:
             return self.apply(servers, i.ListScope.CHANGES)
         kept = [self.servers[id] for id in update.kept() if id in self.hosts]
@@ -192,12 +197,14 @@
         if scope is i.ListScope.WHOLE:
             named = {s.id for s in servers}
             for id in [id for id in self.hosts if id not in named]:
+                self.starts.forget(id)
                 self.strike(id)
         news = News()
         for server in in_order(servers):
             self.remember(server)
             entry = self.entry(server)
             if entry.drain is i.Drain.GONE:
+                self.starts.forget(server.id)
                 self.strike(server.id)
                 actor = None
             else:
@@ -217,8 +224,16 @@
         zones, kinds = self.settings.zones, self.settings.kinds
         zone = zones.index(server.zone) if server.zone in zones else 0
         kind = kinds.index(server.kind) if server.kind in kinds else 0
+        start = self.starts.read(server)
         return i.WorkerEntry(
-            worker_number(server.id), zone, kind, server.cell, drain, server.weight, server.started_ms or None
+            worker_number(server.id),
+            zone,
+            kind,
+            server.cell,
+            drain,
+            server.weight,
+            None if start is None else start.at,
+            None if start is None else start.stamp,
         )
 
     def replace(self, server: Server, news: News) -> None:
@@ -227,6 +242,7 @@
         for id, (standing, _) in list(self.hosts.items()):
             if standing.address == where and id != server.id:
                 standing.replaced = True
+                self.starts.forget(id)
                 self.strike(id, now=True)
                 news.gone(worker_number(id))
 
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -10,8 +10,9 @@
 from gevent import socket
 from gevent.event import Event
 
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
 from ..core.calls import CallMaker
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..limits import Limits
 from ..log import Log
--- a/harrieryoke/plugins/bench.py
+++ b/harrieryoke/plugins/bench.py
@@ -11,7 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .. import interface as i
-from ..core.actor import now_ms
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Call, Front, HostName, Listed
 from ..limits import Limits
--- a/harrieryoke/plugins/gate.py
+++ b/harrieryoke/plugins/gate.py
@@ -10,7 +10,8 @@
 from gevent.event import AsyncResult
 
 from .. import interface as i
-from ..core.actor import Actor, now_ms, spawn, waited
+from ..core.actor import Actor, spawn, waited
+from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Asked, Call, Ended, Front, Listed, Retuned, Stopping, Taken, Wished, Withdrawn
 from ..limits import Limits
--- a/harrieryoke/plugins/instance.py
+++ b/harrieryoke/plugins/instance.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..core.actor import Actor, now_ms, spawn
+from ..core.actor import Actor, spawn
+from ..core.clock import now_ms
 from ..log import Log
 from .decide import abi
 from .decide.abi import Fault
--- a/harrieryoke/plugins/process.py
+++ b/harrieryoke/plugins/process.py
@@ -13,7 +13,7 @@
 import msgspec
 from gevent import socket
 
-from ..core.actor import now_ms
+from ..core.clock import now_ms
 from .decide.abi import Fault
 
 HEAD = struct.Struct(">I")
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -15,8 +15,9 @@
 from . import interface as i
 from .checks import ConfigError
 from .config import Config, read_ceilings
-from .core.actor import now_ms, spawn
+from .core.actor import spawn
 from .core.calls import CallMaker
+from .core.clock import now_ms
 from .core.module import ModuleActor
 from .core.records import Counted, Retuned, Stopping
 from .log import Log
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -87,6 +87,11 @@
     served: dict[int, float] = field(default_factory=dict)  # class -> its last good answer
     flying: dict[tuple[int, int], float] = field(default_factory=dict)  # own attempts, oldest first
 
+    def knows_start(self, told: WorkerEntry) -> bool:
+        """Whether the list tells again of the start that it told of before."""
+        stamp = told.start_stamp
+        return told is not self.entry and stamp is not None and stamp == self.entry.start_stamp
+
 
 @dataclass(slots=True)
 class Function:
--- a/harrieryoke/state_transfer.py
+++ b/harrieryoke/state_transfer.py
@@ -1,8 +1,10 @@
 """State transfer: what the router has learned, serialised for the process that replaces this one.
 
-No I/O and no clock. Times are Unix milliseconds, which both processes share. Workers are named by the
-router's numbers, which are the same at every start, and classes by name. Work in progress (attempts, orders,
-waiting requests) is not transferred: the old process completes it.
+No I/O and no clock. Times are milliseconds of the sender's monotonic clock, which all processes of a machine
+share; `at` is the moment of packing on it. A receiver that has another clock, as after version 1, whose
+times are of the wall clock, moves them all to its own. Workers are named by the router's numbers, which are
+the same at every start, and classes by name. Work in progress (attempts, orders, waiting requests) is not
+transferred: the old process completes it.
 """
 
 from __future__ import annotations
@@ -15,7 +17,9 @@
 from .brain import FORGET, Router
 from .state import Bucket, Copy, Function, Load, Worker, digest
 
-VERSION = 1
+VERSION = 2
+WALL_CLOCK_VERSION = 1  # its times are Unix milliseconds, and it does not say when it was packed
+SAME_CLOCK_MS = 10_000.0  # a transfer takes less; a larger difference is one of clocks
 Count = Annotated[int, msgspec.Meta(ge=1, le=1 << 20)]
 
 
@@ -42,6 +46,7 @@
     budget_at: float
     doubts: dict[str, tuple[float, float]]
     served: dict[str, float]
+    start_stamp: float | None = None  # the list's mark of its last start; version 1 has none
 
 
 class CopyState(msgspec.Struct, array_like=True):
@@ -82,11 +87,12 @@
     held: float
     stretch: float
     order_cap: float
+    at: float = 0.0
 
 
-def pack(router: Router) -> bytes:
+def pack(router: Router, now: float) -> bytes:
     """Serialise what the router has learned: version, checksum, values. The newest definition of a class
-    counts."""
+    counts. `now` is on the router's clock."""
     names = [c.name for c in router.s.classes]
     state = RouterState(
         [worker_state(number, w, names) for number, w in router.workers.items()],
@@ -99,6 +105,7 @@
         router.held,
         router.stretch,
         router.order_cap,
+        now,
     )
     body = msgspec.json.encode(state)
     return b"%d %d\n" % (VERSION, zlib.crc32(body)) + body
@@ -123,6 +130,7 @@
         w.budget.at,
         {names[n]: doubt for n, doubt in sorted(w.doubts.items())},
         {names[n]: at for n, at in sorted(w.served.items())},
+        w.entry.start_stamp,
     )
 
 
@@ -143,21 +151,68 @@
     )
 
 
-def unpack(data: bytes) -> RouterState:
-    """Parse the output of `pack`. Raises StateTransferError for another version or damaged data."""
+def unpack(data: bytes, now: float, wall: float) -> RouterState:
+    """Parse the output of `pack`, of this version or the one before, with its times on the receiver's clock:
+    `now` and `wall` are its monotonic and its wall clock. Raises StateTransferError for another version or
+    damaged data."""
     head, _, body = data.partition(b"\n")
     try:
         version, checksum = map(int, head.split())
     except ValueError:
         raise StateTransferError("its head can't be read") from None
-    if version != VERSION:
-        raise StateTransferError(f"it is of version {version}, and {VERSION} is read here")
+    if version not in (WALL_CLOCK_VERSION, VERSION):
+        raise StateTransferError(f"it is of version {version}, and up to {VERSION} is read here")
     if zlib.crc32(body) != checksum:
         raise StateTransferError("its checksum is wrong")
     try:
-        return msgspec.json.decode(body, type=RouterState)
+        state: RouterState = msgspec.json.decode(body, type=RouterState)
     except msgspec.MsgspecError as error:
         raise StateTransferError(str(error)) from None
+    ahead = (wall if version == WALL_CLOCK_VERSION else state.at) - now
+    if version == VERSION and -SAME_CLOCK_MS <= ahead <= 0:
+        return state
+    return move_times(state, -ahead)
+
+
+def move_times(state: RouterState, by: float) -> RouterState:
+    """Return the state with each time later by so many milliseconds. One that says never stays so."""
+    return msgspec.structs.replace(
+        state,
+        workers=[move_worker(w, by) for w in state.workers],
+        functions=[
+            msgspec.structs.replace(
+                f,
+                copies=[msgspec.structs.replace(c, seen=c.seen + by) for c in f.copies],
+                missed=[(worker, until + by) for worker, until in f.missed],
+            )
+            for f in state.functions
+        ],
+        ordered=[at + by for at in state.ordered],
+        arrivals=[at + by for at in state.arrivals],
+        last_arrival=state.last_arrival + by,
+        at=state.at + by,
+    )
+
+
+def move_worker(w: WorkerState, by: float) -> WorkerState:
+    """Return the worker with each time later by so many milliseconds."""
+    return msgspec.structs.replace(
+        w,
+        started=w.started + by,
+        told=w.told + by,
+        heard=w.heard + by,
+        cut=w.cut + by,
+        budget_at=w.budget_at + by,
+        doubts={name: (until + by, pause) for name, (until, pause) in w.doubts.items()},
+        served={name: at + by for name, at in w.served.items()},
+    )
+
+
+def is_same_start(state: WorkerState, worker: Worker) -> bool:
+    """Whether the worker has not started anew since, by the list's mark where both have one."""
+    if state.start_stamp is not None and worker.entry.start_stamp is not None:
+        return state.start_stamp == worker.entry.start_stamp
+    return state.started >= worker.started
 
 
 def restore(router: Router, state: RouterState) -> None:
@@ -169,7 +224,7 @@
     fresh = {
         w.worker
         for w in state.workers
-        if w.worker in router.workers and w.started >= router.workers[w.worker].started
+        if w.worker in router.workers and is_same_start(w, router.workers[w.worker])
     }
     router.ordered.extend(sorted(state.ordered))
     router.arrivals.extend(sorted(state.arrivals))
@@ -209,7 +264,6 @@
     if state.out and router.functions:
         router.take_out(w, dead=False)
         w.dead, w.lost, w.backoff = state.dead, state.dead, state.backoff
-    if state.started > w.started:
-        w.started = state.started
-        router.warm_at = max(router.warm_at, w.started + router.s.cold_period)
+    w.started = state.started
+    router.warm_at = max(router.warm_at, w.started + router.s.cold_period)
     w.budget = Bucket(state.budget, state.budget_at)
--- a/harrieryoke/store/actor.py
+++ b/harrieryoke/store/actor.py
@@ -10,7 +10,8 @@
 from gevent.event import Event
 from gevent.threadpool import ThreadPool
 
-from ..core.actor import now_ms, spawn
+from ..core.actor import spawn
+from ..core.clock import now_ms
 from ..log import Log
 from .decide.segment import Record
 from .files import Files, RealFiles
--- a/harrieryoke/store/store.py
+++ b/harrieryoke/store/store.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
 
+from ..core.clock import wall_ms
 from .decide import segment as fmt
 from .decide.commit import Commit, Step
 from .decide.index import SegmentIndex
@@ -244,7 +245,8 @@
     # --- writing ---
 
     def append(self, now: float, kind: int, key: bytes, payload: bytes) -> int | None:
-        """The record's number, or None at the bound: then nothing was taken, and `refused` counts it."""
+        """The record's number, or None at the bound: then nothing was taken, and `refused` counts it.
+        `now` is the record's time, in Unix milliseconds."""
         record = self.commit.admit(int(now), kind, key, payload)
         if record is None:
             self.refused += 1
@@ -252,12 +254,12 @@
         return record.seq
 
     def turn(self, now: float, closing: bool = False) -> bool:
-        """One step towards the disk; whether there may be another at once. Never raises OSError: a failure is
-        told by `commit.failing`."""
+        """One step towards the disk; whether there may be another at once. `now` is on a clock that is never
+        set, since pauses are measured by it. Never raises OSError: a failure is told by `commit.failing`."""
         step = self.commit.step(now, closing)
         try:
             if step is Step.ROLL:
-                self.roll(now)
+                self.roll()
             elif step is Step.WRITE:
                 self.write(now)
             elif step is Step.SYNC:
@@ -270,21 +272,23 @@
             return False
         return True
 
-    def roll(self, now: float) -> None:
-        """The last segment is left, synced; its successor stands with its header and its name on the disk."""
+    def roll(self) -> None:
+        """The last segment is left, synced; its successor stands with its header and its name on the disk.
+        The header tells when that was, in Unix milliseconds."""
         self.leave()
+        begun = int(wall_ms())
         self.number += 1
         first = self.commit.waiting[0].seq if self.commit.waiting else self.commit.next_seq
         name = fmt.segment_name(self.number)
         handle = self.handle = self.files.create(name)
         self.sizes[self.number] = 0
-        self.put(handle, fmt.encode_header(self.number, first, int(now)))
+        self.put(handle, fmt.encode_header(self.number, first, begun))
         handle.sync()
         self.files.sync_folder()
         if self.segments:
             self.limits[self.segments[-1][0]] = first
         self.segments.append((self.number, name))
-        self.headers[self.number] = fmt.Header(fmt.VERSION, self.number, first, int(now), fmt.HEADER.size)
+        self.headers[self.number] = fmt.Header(fmt.VERSION, self.number, first, begun, fmt.HEADER.size)
         self.indexes[self.number] = SegmentIndex(self.number)
         self.commit.rolled()
 
@@ -386,7 +390,7 @@
         """In order: all is durable and the segment says so; False where the disk does not let it."""
         good = self.flush(now)
         if good and self.handle is not None:
-            self.commit.admit(int(now), fmt.CLOSED, b"", b"")
+            self.commit.admit(int(wall_ms()), fmt.CLOSED, b"", b"")
             good = self.flush(now)
         self.leave()
         self.files.unlock()
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -23,6 +23,7 @@
 from gevent.event import AsyncResult
 
 from ..core.actor import Actor, spawn
+from ..core.clock import now_ms, wall_ms
 from ..core.module import ModuleActor
 from ..core.records import Leading, Visit
 from ..limits import Limits
@@ -161,7 +162,7 @@
         from ..state_transfer import StateTransferError, restore, unpack
 
         try:
-            state = unpack(self.predecessor.state) if self.predecessor.state else None
+            state = unpack(self.predecessor.state, now_ms(), wall_ms()) if self.predecessor.state else None
         except StateTransferError as error:
             self.log("takeover-forgot", f"starting without what was learned: {error}")
             return
@@ -282,7 +283,7 @@
         packed: AsyncResult = AsyncResult()
         state = b""
         # a router too busy to answer must not hold up the handover: the new process then starts without state
-        if self.core.tell(Visit(lambda router: packed.set(pack(router)))):
+        if self.core.tell(Visit(lambda router: packed.set(pack(router, now_ms())))):
             try:
                 state = packed.get(timeout=self.limits.carry_ms / 1000)
             except gevent.Timeout:
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -113,7 +113,7 @@
             if listed.event.scope is not i.ListScope.CHANGES:
                 self.seen = {}
             self.seen |= {e.worker: e for e in listed.event.workers}
-        seen = {w: (e.drain, e.started) for w, e in self.seen.items() if e.drain is not i.Drain.GONE}
+        seen = {w: (e.drain, e.start_stamp) for w, e in self.seen.items() if e.drain is not i.Drain.GONE}
         live = [id for id in self.words if self.drain(id) is not i.Drain.GONE]
         assert seen == {number(id): (self.drain(id), self.words[id].started_ms or None) for id in live}
         figures = self.actor.figures
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -503,7 +503,7 @@
     else:
         made.actor.receive(BusSaid(BusEvent(1, Topology(servers))))
     assert made.state() == {"h1": (UP, 1), "h4": (UP, 3)}
-    assert made.module[worker_number("h1")].started == 5
+    assert made.module[worker_number("h1")].start_stamp == 5
     for id in list(made.actor.hosts):
         made.actor.strike(id, now=True)
     gevent.sleep(0)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -11,7 +11,7 @@
 import pytest
 
 from harrieryoke.checks import ConfigError
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.core.records import Call, Ended, Front, Taken, Withdrawn
 from harrieryoke.door.actor import DoorActor
 from harrieryoke.door.settings import DoorSettings
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent import socket
 
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.lab.audit import orders_over_budget
 from harrieryoke.lab.world import FLOOR, SHARE, WINDOW
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -17,7 +17,7 @@
 import pytest
 
 from harrieryoke.background.settings import BackgroundSettings
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.core.records import Call
 from harrieryoke.lab.collector import EmulatedCollector
 from harrieryoke.ledger.decide.book import BookError
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.mqtt.memory import Final, KeyMemory
 from harrieryoke.net import frames
 
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -15,7 +15,7 @@
 import gevent
 import pytest
 
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.lab.plugins import CASES, VERSION
 from harrieryoke.lab.world import children
 from harrieryoke.limits import Limits
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -9,7 +9,7 @@
 import gevent
 
 from harrieryoke.background.settings import BackgroundSettings
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.core.records import Call
 from harrieryoke.council.decide import duties as d
 from harrieryoke.council.decide.acts import Acts, Machine
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 
 from harrieryoke import interface as i
 from harrieryoke.brain import Router
-from harrieryoke.core.actor import now_ms
+from harrieryoke.core.clock import now_ms
 from harrieryoke.lab.world import ROOT, World, free_port
 from harrieryoke.net.frames import REQUEST
 from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
@@ -229,6 +229,9 @@
     assert "takeover-failed" not in relays.text() and len(list((relays.folder / "tmp").glob("*.sock"))) == 1
 
 
+NOW, WALL = 5000.0, 1.8e12  # milliseconds on the two clocks of a machine
+
+
 def learned() -> Rig:
     """A router with a copy at one worker and one worker in doubt."""
     rig = Rig(SETTINGS)
@@ -250,7 +253,7 @@
     fresh = Rig(SETTINGS)
     fresh.now = rig.now
     fresh.give(i.WorkersListed(i.ListScope.REMEMBERED, workers(3)))
-    restore(fresh.router, unpack(pack(rig.router)))
+    restore(fresh.router, unpack(pack(rig.router, rig.now), rig.now, WALL))
     said = fresh.give(i.RequestArrived(99, 0, "f", fresh.now + 2000, lanes=4))
     assert next(a.worker for a in said if isinstance(a, i.StartAttempt)) in held
     assert not [a for a in said if isinstance(a, i.OrderCopies)]
@@ -263,7 +266,7 @@
     held = list(rig.router.functions["f"].copies)
     restarted = tuple(i.WorkerEntry(w.worker, started=rig.now + 5) for w in workers(3) if w.worker in held)
     fresh.handle(rig.now + 10, [i.WorkersListed(i.ListScope.REMEMBERED, restarted)])
-    restore(fresh, unpack(pack(rig.router)))
+    restore(fresh, unpack(pack(rig.router, rig.now), rig.now, WALL))
     assert not fresh.functions["f"].copies and all(fresh.warmth(w) < 0.5 for w in fresh.workers.values())
 
 
@@ -281,9 +284,9 @@
     ],
 )
 def test_what_was_handed_on_and_is_damaged_is_refused_whole(spoil: object) -> None:
-    data = pack(learned().router)
+    data = pack(learned().router, NOW)
     with pytest.raises(StateTransferError):
-        unpack(spoil(data))  # type: ignore[operator]
+        unpack(spoil(data), NOW, WALL)  # type: ignore[operator]
 
 
 def test_the_file_of_bans_is_written_whole_or_not_at_all(
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -14,7 +14,14 @@
 from .faults.clock import NoCompilerError, SteppedClock, build_shim
 from .scenario import SETTINGS, Scene
 
-STEPS = {"none": 0.0, "3 s back": -3000.0}
+HOUR_MS = 3_600_000.0
+STEPS = {
+    "none": 0.0,
+    "3 s back": -3000.0,
+    "3 s ahead": 3000.0,
+    "an hour back": -HOUR_MS,
+    "an hour ahead": HOUR_MS,
+}
 WINDOW_MS = 1500  # of keys and of the ration, so that a test can wait for its end
 
 
@@ -62,6 +69,39 @@
         )
 
 
+@pytest.mark.parametrize("step", STEPS)
+def test_orders_keep_to_their_ration_in_real_time(step: str, tmp_path: Path) -> None:
+    """The floor of one order is spent; what the wall clock says gives nobody a second one."""
+    one, other, later = list(functions())[:3]
+    with invoker(tmp_path, rationed(floor=1, share=0)) as scene:
+        scene.play(
+            f"""
+            send c1 call 1 weight-read obj={one}
+            expect h1 request asset={one}
+            send h1 miss
+            expect h1 hold asset={one}
+            send h1 ok of=hold pods=1
+            expect h1 request asset={one}
+            send h1 ok n=w
+            expect c1 1 result
+            send clock {STEPS[step]}
+            send c1 call 2 weight-read obj={other} budget=900
+            expect h1 request asset={other}
+            send h1 miss
+            expect c1 2 error -32050
+            """
+        )
+        time.sleep(1.2 * WINDOW_MS / 1000)
+        scene.play(
+            f"""
+            send c1 call 3 weight-read obj={later}
+            expect h1 request asset={later}
+            send h1 miss
+            expect h1 hold asset={later}
+            """
+        )
+
+
 @pytest.mark.parametrize("step", STEPS)
 def test_requests_buy_orders_for_their_real_window_alone(step: str, tmp_path: Path) -> None:
     """Requests that lie longer back than the window buy no order, wherever the wall clock puts them."""
