--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,11 +6,14 @@
 import signal
 import subprocess
 import sys
+import zlib
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import gevent
+import msgspec
 import pytest
 from gevent import socket
 
@@ -19,7 +22,7 @@
 from harrieryoke.core.clock import now_ms
 from harrieryoke.lab.world import ROOT, World, free_port
 from harrieryoke.net.frames import REQUEST
-from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
+from harrieryoke.state_transfer import StateTransferError, move_times, pack, restore, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
 from harrieryoke.upgrade.link import short_socket_path
 
@@ -270,6 +273,38 @@
     assert not fresh.functions["f"].copies and all(fresh.warmth(w) < 0.5 for w in fresh.workers.values())
 
 
+@pytest.mark.parametrize("version", [1, 2])
+def test_times_on_another_clock_are_moved_to_the_receivers(version: int) -> None:
+    """Version 1 has the times of the wall clock; of version 2 the sender's machine may have started anew."""
+    rig = learned()
+    here = unpack(pack(rig.router, rig.now), rig.now, WALL)
+    if version == 1:
+        body = msgspec.json.encode(move_times(here, WALL - rig.now))
+        moved = unpack(b"1 %d\n" % zlib.crc32(body) + body, rig.now, WALL)
+    else:
+        moved = unpack(pack(rig.router, rig.now), rig.now + 1e9, WALL)
+        moved = move_times(moved, -1e9)
+    assert moved.arrivals == pytest.approx(here.arrivals, abs=0.01) and here.arrivals
+    for there, worker in zip(moved.workers, here.workers, strict=True):
+        assert (there.heard, there.budget_at) == pytest.approx((worker.heard, worker.budget_at), abs=0.01)
+    fresh = Rig(SETTINGS)
+    fresh.now = rig.now
+    restore(fresh.router, moved)
+    assert fresh.router.functions["f"].copies.keys() == rig.router.functions["f"].copies.keys()
+
+
+def test_a_host_of_the_same_start_keeps_what_was_learned_of_it_however_late_the_list_puts_it() -> None:
+    rig, fresh = learned(), Router(SETTINGS, 1)
+    stamped = tuple(replace(w, started=rig.now - 400, start_stamp=WALL) for w in workers(3))
+    rig.give(i.WorkersListed(i.ListScope.CHANGES, stamped))
+    rig.router.believe(rig.router.functions["f"], 1)
+    later = tuple(replace(w, started=rig.now) for w in stamped)
+    fresh.handle(rig.now, [i.WorkersListed(i.ListScope.REMEMBERED, later)])
+    restore(fresh, unpack(pack(rig.router, rig.now), rig.now, WALL))
+    assert fresh.functions["f"].copies.keys() == {1}
+    assert {w.started for w in fresh.workers.values()} == {rig.now - 400}
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
