--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from harrieryoke.net import frames
+
 from .faults.clock import NoCompilerError, SteppedClock, build_shim
 from .scenario import SETTINGS, Scene
 
@@ -130,6 +132,53 @@
         )
 
 
+@pytest.mark.parametrize("step", STEPS)
+def test_a_request_has_the_time_that_its_client_gave_it(step: str, tmp_path: Path) -> None:
+    """One that no host answers ends in its time, and one that a host answers soon is served, on the links and
+    client connections that there were."""
+    with invoker(tmp_path) as scene:
+        began = time.monotonic()
+        scene.play(
+            f"""
+            send c1 call 1 weight-read body=silent budget=1500
+            expect h1 request body=silent
+            send c2 call 2 weight-read body=soon
+            expect h1 request body=soon
+            send clock {STEPS[step]}
+            """
+        )
+        time.sleep(0.3)
+        scene.play(
+            """
+            send h1 ok n=w body=answer
+            expect c2 2 result answer
+            send c2 call 3 weight-read body=next
+            expect h1 request body=next
+            send h1 ok n=w body=answer
+            expect c2 3 result answer
+            expect c1 1 error -32050
+            """
+        )
+        assert 0.5 < time.monotonic() - began < 1.6, "neither at once nor past its time"
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_host_is_given_no_more_time_than_the_client_has_left(step: str, tmp_path: Path) -> None:
+    with invoker(tmp_path) as scene:
+        scene.play(
+            f"""
+            send c1 call 1 weight-read budget=3000
+            expect h1 request
+            send clock {STEPS[step]}
+            """
+        )
+        time.sleep(0.5)
+        scene.play("send h1 miss\nexpect h1 hold\nsend h1 ok of=hold pods=1")
+        frame = scene.parties["h1"].frame()
+        assert frame is not None and frame.code == frames.REQUEST
+        assert 2000 < int(frame.fields["patience"]) <= 2500
+
+
 def test_the_shim_names_a_missing_compiler() -> None:
     with pytest.raises(NoCompilerError, match="no C compiler 'no-such-cc' on PATH"):
         build_shim("no-such-cc")
