--- a/tests/faults/clock.py
+++ b/tests/faults/clock.py
@@ -29,7 +29,7 @@
     return library
 
 
-class SteppedClock:
+class WallClockShim:
     """The wall clock of the processes that are started with `environment`."""
 
     def __init__(self, folder: Path) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -30,7 +30,7 @@
 from harrieryoke.net import frames
 
 from .broker import Broker, Publication, until
-from .faults.clock import SteppedClock
+from .faults.clock import WallClockShim
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # seconds until a step that should come at once is held to have failed
@@ -158,7 +158,7 @@
         broker: Broker | None = None,
         window: int = 6000,
         settings: dict[str, Any] | None = None,
-        clock: SteppedClock | None = None,
+        clock: WallClockShim | None = None,
     ) -> None:
         """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes.
         Hosts have the first zone and flavor of the `settings`, which are SETTINGS if none are given."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -17,7 +17,7 @@
 import pytest
 
 from harrieryoke.background.settings import BackgroundSettings
-from harrieryoke.core.clock import now_ms
+from harrieryoke.core.clock import now_ms, wall_ms
 from harrieryoke.core.records import Call
 from harrieryoke.lab.collector import EmulatedCollector
 from harrieryoke.ledger.decide.book import BookError
@@ -141,6 +141,27 @@
     collector.down()
 
 
+@pytest.mark.parametrize("step_ms", [-3_600_000, 3_600_000])
+def test_a_step_of_the_wall_clock_moves_what_entries_say_and_no_wait(
+    step_ms: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Entries and periods are of the wall clock; what a call took, held answers and batches are not."""
+    collector = EmulatedCollector(random.Random(3))
+    rig = Rig(tmp_path, collector, hold_ms=200, period_s=3600)
+    rig.ends(5)
+    until(rig.settled)
+    monkeypatch.setattr("harrieryoke.ledger.actor.wall_ms", lambda: wall_ms() + step_ms)
+    rig.ends(5)
+    until(lambda: len(collector.entries()) == 10, seconds=5)
+    rig.part.stop()
+    collector.down()
+    entries = sorted(collector.entries(), key=lambda entry: entry.number)
+    assert entries[5].at_ms - entries[4].at_ms == pytest.approx(step_ms, abs=2000)
+    assert all(50 <= entry.took < 1000 for entry in entries)
+    assert rig.part.actor.counts["unsure"] == 0
+    assert {caller.answers for caller in rig.callers} == {1}
+
+
 @pytest.mark.parametrize("disk", [True, False])
 def test_entries_that_the_collector_lost_are_found_and_sent_again(disk: bool, tmp_path: Path) -> None:
     collector = EmulatedCollector(random.Random(3))
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -13,7 +13,7 @@
 
 from harrieryoke.net import frames
 
-from .faults.clock import NoCompilerError, SteppedClock, build_shim
+from .faults.clock import NoCompilerError, WallClockShim, build_shim
 from .scenario import SETTINGS, Scene
 
 HOUR_MS = 3_600_000.0
@@ -30,7 +30,7 @@
 @contextmanager
 def invoker(folder: Path, settings: dict[str, Any] | None = None, **kind: Any) -> Iterator[Scene]:
     """An invoker whose wall clock the step `send clock MS` sets."""
-    scene = Scene(folder, settings=settings, clock=SteppedClock(folder), **kind)
+    scene = Scene(folder, settings=settings, clock=WallClockShim(folder), **kind)
     try:
         yield scene
     finally:
