--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -26,6 +26,7 @@
 from harrieryoke.upgrade.bans import BanFile, BansError
 from harrieryoke.upgrade.link import short_socket_path
 
+from .faults.clock import WallClockShim
 from .rig import SETTINGS, Rig, workers
 
 
@@ -34,6 +35,10 @@
 
     command: tuple[str, ...] = (sys.executable, "-B", "-m", "harrieryoke")
 
+    def shim(self) -> dict[str, str]:
+        """Variables of the process beside the platform's."""
+        return {}
+
     def launch(self) -> subprocess.Popen[bytes]:
         (self.folder / "tmp").mkdir(exist_ok=True)
         self.manage = ("127.0.0.1", free_port())
@@ -43,6 +48,7 @@
             stdout=self.log,
             stderr=self.log,
             env=os.environ
+            | self.shim()
             | {
                 "RELAY_CONFIG": str(self.folder / "config.json"),
                 "RELAY_MANAGEMENT": "{}:{}".format(*self.manage),
@@ -102,6 +108,16 @@
     made.close()
 
 
+class SteppedRelays(Relays):
+    """All processes read one wall clock, which a test steps."""
+
+    wall: WallClockShim | None = None
+
+    def shim(self) -> dict[str, str]:
+        self.wall = self.wall or WallClockShim(self.folder)
+        return self.wall.environment()
+
+
 def played(relays: Relays, seconds: float) -> gevent.Greenlet:
     """The load, beside which the test goes on."""
     return gevent.spawn(relays.load.run, seconds)
@@ -122,6 +138,25 @@
     assert relays.text().count("taken-over") == 2 and "takeover-forgot" not in relays.text()
 
 
+@pytest.mark.parametrize("step_ms", [-3_600_000.0, 3_600_000.0])
+def test_an_upgrade_hands_over_across_a_step_of_the_wall_clock(step_ms: float, tmp_path: Path) -> None:
+    relays = SteppedRelays(tmp_path, 3, 150.0)
+    assert relays.wall is not None
+    try:
+        load = played(relays, 4.5)
+        gevent.sleep(2.0)
+        relays.wall.step(step_ms)
+        gevent.sleep(0.5)
+        old = relays.next()
+        assert end(old)[0] == 0
+        load.join()
+        ended = relays.audit()
+        assert set(ended) <= {"served", "refused"} and ended["served"] > 0.8 * ended.total(), ended
+        assert "takeover-forgot" not in relays.text() and "module-fault" not in relays.text()
+    finally:
+        relays.close()
+
+
 @pytest.mark.parametrize("after", [0.0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0])
 def test_a_new_process_killed_at_any_point_of_the_handover_leaves_the_old_one_serving(
     relays: Relays, after: float
