--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -174,7 +174,7 @@
         return self.names.get(worker, str(worker))
 
     def next_time(self) -> float:
-        """At most a second ahead, so that a step of the system's clock cannot put it to sleep for long."""
+        """When to look next: at most a second ahead, so that a step of the wall clock is logged soon."""
         # guards against waking for each timer alone: most find their request answered, and a round just for
         # them keeps the next message waiting for its tick; in the slack a message's round takes them along
         timer = (self.timers[0][0] if self.timers else float("inf")) + self.slack
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -143,7 +143,7 @@
 
     def stale(self, now: float, stepped: float) -> bool:
         """Whether the client never asks, has stopped within a line, or never closes: its descriptor is wanted
-        for others. What the clock stepped over at `stepped` was no silence of the client."""
+        for others. What a pause of this process, which ended at `stepped`, went over was no silence of the client."""
         idle = self.asked and not self.partial
         quiet = min(self.quiet(now) or 0.0, now - stepped)
         return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -149,7 +149,7 @@
             self.work()
             now = now_ms()
             if not 0 <= now - swept < self.limits.sweep_ms:
-                # where the clock steps ahead, all idle clients look stale at once, and would be closed with a
+                # after a pause of this process, all idle clients look stale at once, and would be closed with a
                 # request of theirs on its way
                 stepped = stepped if 0 <= now - swept < 4 * self.limits.sweep_ms else now
                 swept = now
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -25,17 +26,7 @@
     "an hour ahead": HOUR_MS,
 }
 WINDOW_MS = 1500  # of keys and of the ration, so that a test can wait for its end
-
-
-@contextmanager
-def invoker(folder: Path, settings: dict[str, Any] | None = None, **kind: Any) -> Iterator[Scene]:
-    """An invoker whose wall clock the step `send clock MS` sets."""
-    scene = Scene(folder, settings=settings, clock=WallClockShim(folder), **kind)
-    try:
-        yield scene
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log and "module-fault" not in log, log
+ONE, OTHER, LATER = (f"{n:016x}" for n in (1, 2, 3))  # functions
 
 
 def rationed(floor: float, share: float) -> dict[str, Any]:
@@ -45,91 +36,91 @@
     return settings
 
 
-def functions() -> Iterator[str]:
-    """Names of functions, each of them new."""
-    return (f"{n:016x}" for n in range(1, 1000))
-
-
-@pytest.mark.parametrize("step", STEPS)
-def test_a_keyed_request_is_not_repeated_past_its_real_window(step: str, tmp_path: Path) -> None:
-    with invoker(tmp_path, window=WINDOW_MS) as scene:
-        scene.play(
-            f"""
-            send c1 call 1 harvest-log token=t body=first
-            expect h1 request body=first op=t
-            send clock {STEPS[step]}
-            """
-        )
-        time.sleep(1.2 * WINDOW_MS / 1000)
-        scene.play(
-            """
-            close h1
-            expect c1 1 error -32000
-            send c2 call 2 weight-read body=second
-            expect h1 request body=second
-            """
-        )
+def served(number: int, function: str) -> str:
+    return f"""
+        send c1 call {number} weight-read obj={function}
+        expect h1 request asset={function}
+        send h1 ok n=w
+        expect c1 {number} result
+    """
+
+
+def missed(number: int, function: str) -> str:
+    """A request for which no order may be given: it has to end refused."""
+    return f"""
+        send c1 call {number} weight-read obj={function} budget=900
+        expect h1 request asset={function}
+        send h1 miss
+        expect c1 {number} error -32050
+    """
+
+
+def ordered(number: int, function: str) -> str:
+    return f"""
+        send c1 call {number} weight-read obj={function}
+        expect h1 request asset={function}
+        send h1 miss
+        expect h1 hold asset={function}
+    """
+
+
+@dataclass(frozen=True)
+class Window:
+    """What is played before the step, right after it, and once the window has passed in real time."""
+
+    kind: dict[str, Any]
+    before: str
+    within: str
+    past: str
+
+
+WINDOWS = {
+    "a keyed request is not repeated past its window": Window(
+        {"window": WINDOW_MS},
+        "send c1 call 1 harvest-log token=t body=first\nexpect h1 request body=first op=t",
+        "",
+        """
+        close h1
+        expect c1 1 error -32000
+        send c2 call 2 weight-read body=second
+        expect h1 request body=second
+        """,
+    ),
+    "the floor of one order is granted once in a window": Window(
+        {"settings": rationed(floor=1, share=0)},
+        ordered(1, ONE)
+        + f"send h1 ok of=hold pods=1\nexpect h1 request asset={ONE}\nsend h1 ok n=w\nexpect c1 1 result",
+        missed(2, OTHER),
+        ordered(3, LATER),
+    ),
+    "requests older than the window buy no order": Window(
+        {"settings": rationed(floor=0, share=0.4)},
+        "".join(served(number, ONE) for number in range(1, 5)),
+        "",
+        missed(5, OTHER) + served(6, ONE),
+    ),
+}
 
 
-@pytest.mark.parametrize("step", STEPS)
-def test_orders_keep_to_their_ration_in_real_time(step: str, tmp_path: Path) -> None:
-    """The floor of one order is spent; what the wall clock says gives nobody a second one."""
-    one, other, later = list(functions())[:3]
-    with invoker(tmp_path, rationed(floor=1, share=0)) as scene:
-        scene.play(
-            f"""
-            send c1 call 1 weight-read obj={one}
-            expect h1 request asset={one}
-            send h1 miss
-            expect h1 hold asset={one}
-            send h1 ok of=hold pods=1
-            expect h1 request asset={one}
-            send h1 ok n=w
-            expect c1 1 result
-            send clock {STEPS[step]}
-            send c1 call 2 weight-read obj={other} budget=900
-            expect h1 request asset={other}
-            send h1 miss
-            expect c1 2 error -32050
-            """
-        )
-        time.sleep(1.2 * WINDOW_MS / 1000)
-        scene.play(
-            f"""
-            send c1 call 3 weight-read obj={later}
-            expect h1 request asset={later}
-            send h1 miss
-            expect h1 hold asset={later}
-            """
-        )
+@contextmanager
+def invoker(folder: Path, **kind: Any) -> Iterator[Scene]:
+    """An invoker whose wall clock the step `send clock MS` sets."""
+    scene = Scene(folder, clock=WallClockShim(folder), **kind)
+    try:
+        yield scene
+    finally:
+        log = scene.end()
+    assert "greenlet-died" not in log and "module-fault" not in log, log
 
 
 @pytest.mark.parametrize("step", STEPS)
-def test_requests_buy_orders_for_their_real_window_alone(step: str, tmp_path: Path) -> None:
-    """Requests that lie longer back than the window buy no order, wherever the wall clock puts them."""
-    one, other = list(functions())[:2]
-    with invoker(tmp_path, rationed(floor=0, share=0.4)) as scene:
-        for number in range(1, 5):
-            scene.play(
-                f"""
-                send c1 call {number} weight-read obj={one}
-                expect h1 request asset={one}
-                send h1 ok n=w
-                expect c1 {number} result
-                """
-            )
-        scene.play(f"send clock {STEPS[step]}")
+@pytest.mark.parametrize("case", WINDOWS)
+def test_windows_are_of_real_time(case: str, step: str, tmp_path: Path) -> None:
+    window = WINDOWS[case]
+    with invoker(tmp_path, **window.kind) as scene:
+        scene.play(f"{window.before}\nsend clock {STEPS[step]}\n{window.within}")
         time.sleep(1.2 * WINDOW_MS / 1000)
-        scene.play(
-            f"""
-            send c1 call 5 weight-read obj={other} budget=900
-            expect h1 request asset={other}
-            send h1 miss
-            expect c1 5 error -32050
-            send c1 call 6 weight-read obj={one}
-            expect h1 request asset={one}
-            """
-        )
+        scene.play(window.past)
 
 
 @pytest.mark.parametrize("step", STEPS)
