--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -141,11 +141,12 @@
         """For how long nothing has come that is whole; None while something is open. The front reads this."""
         return None if self.open or self.box or self.unposted or self.outgoing.unsent else now - self.used
 
-    def stale(self, now: float, stepped: float) -> bool:
+    def stale(self, now: float, resumed: float) -> bool:
         """Whether the client never asks, has stopped within a line, or never closes: its descriptor is wanted
-        for others. What a pause of this process, which ended at `stepped`, went over was no silence of the client."""
+        for others. A pause of this process, the last of which ended at `resumed`, was no silence of the
+        client."""
         idle = self.asked and not self.partial
-        quiet = min(self.quiet(now) or 0.0, now - stepped)
+        quiet = min(self.quiet(now) or 0.0, now - resumed)
         return quiet > (self.limits.client_idle_ms if idle else self.limits.client_ask_ms)
 
     def close_stale(self) -> bool:
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -143,17 +143,17 @@
         return any(c.quiet(now) is not None and not c.partial for c in self.clients)
 
     def run(self) -> None:
-        swept = stepped = now_ms()
+        swept = resumed = now_ms()
         while not self.over:
             self.wait(self.limits.sweep_ms)
             self.work()
             now = now_ms()
-            if not 0 <= now - swept < self.limits.sweep_ms:
-                # after a pause of this process, all idle clients look stale at once, and would be closed with a
-                # request of theirs on its way
-                stepped = stepped if 0 <= now - swept < 4 * self.limits.sweep_ms else now
+            if now - swept >= self.limits.sweep_ms:
+                # after a pause of this process, all idle clients look stale at once, and would be closed with
+                # a request of theirs on its way
+                resumed = resumed if now - swept < 4 * self.limits.sweep_ms else now
                 swept = now
-                for client in [c for c in self.clients if c.stale(now, stepped)]:
+                for client in [c for c in self.clients if c.stale(now, resumed)]:
                     self.log("client-closed", f"{client.client}: it was silent for too long")
                     self.clients[client] = client.close_stale()
                 self.send_away()
