--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,11 +6,14 @@
 import signal
 import subprocess
 import sys
+import zlib
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import gevent
+import msgspec
 import pytest
 from gevent import socket
 
@@ -19,10 +22,11 @@
 from harrieryoke.core.clock import now_ms
 from harrieryoke.lab.world import ROOT, World, free_port
 from harrieryoke.net.frames import REQUEST
-from harrieryoke.state_transfer import StateTransferError, pack, restore, unpack
+from harrieryoke.state_transfer import StateTransferError, move_times, pack, restore, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
 from harrieryoke.upgrade.link import short_socket_path
 
+from .faults.clock import WallClockShim
 from .rig import SETTINGS, Rig, workers
 
 
@@ -31,6 +35,10 @@
 
     command: tuple[str, ...] = (sys.executable, "-B", "-m", "harrieryoke")
 
+    def shim(self) -> dict[str, str]:
+        """Variables of the process beside the platform's."""
+        return {}
+
     def launch(self) -> subprocess.Popen[bytes]:
         (self.folder / "tmp").mkdir(exist_ok=True)
         self.manage = ("127.0.0.1", free_port())
@@ -40,6 +48,7 @@
             stdout=self.log,
             stderr=self.log,
             env=os.environ
+            | self.shim()
             | {
                 "RELAY_CONFIG": str(self.folder / "config.json"),
                 "RELAY_MANAGEMENT": "{}:{}".format(*self.manage),
@@ -99,6 +108,16 @@
     made.close()
 
 
+class SteppedRelays(Relays):
+    """All processes read one wall clock, which a test steps."""
+
+    wall: WallClockShim | None = None
+
+    def shim(self) -> dict[str, str]:
+        self.wall = self.wall or WallClockShim(self.folder)
+        return self.wall.environment()
+
+
 def played(relays: Relays, seconds: float) -> gevent.Greenlet:
     """The load, beside which the test goes on."""
     return gevent.spawn(relays.load.run, seconds)
@@ -119,6 +138,25 @@
     assert relays.text().count("taken-over") == 2 and "takeover-forgot" not in relays.text()
 
 
+@pytest.mark.parametrize("step_ms", [-3_600_000.0, 3_600_000.0])
+def test_an_upgrade_hands_over_across_a_step_of_the_wall_clock(step_ms: float, tmp_path: Path) -> None:
+    relays = SteppedRelays(tmp_path, 3, 150.0)
+    assert relays.wall is not None
+    try:
+        load = played(relays, 4.5)
+        gevent.sleep(2.0)
+        relays.wall.step(step_ms)
+        gevent.sleep(0.5)
+        old = relays.next()
+        assert end(old)[0] == 0
+        load.join()
+        ended = relays.audit()
+        assert set(ended) <= {"served", "refused"} and ended["served"] > 0.8 * ended.total(), ended
+        assert "takeover-forgot" not in relays.text() and "module-fault" not in relays.text()
+    finally:
+        relays.close()
+
+
 @pytest.mark.parametrize("after", [0.0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0])
 def test_a_new_process_killed_at_any_point_of_the_handover_leaves_the_old_one_serving(
     relays: Relays, after: float
@@ -270,6 +308,38 @@
     assert not fresh.functions["f"].copies and all(fresh.warmth(w) < 0.5 for w in fresh.workers.values())
 
 
+@pytest.mark.parametrize("version", [1, 2])
+def test_times_on_another_clock_are_moved_to_the_receivers(version: int) -> None:
+    """Version 1 has the times of the wall clock; of version 2 the sender's machine may have started anew."""
+    rig = learned()
+    here = unpack(pack(rig.router, rig.now), rig.now, WALL)
+    if version == 1:
+        body = msgspec.json.encode(move_times(here, WALL - rig.now))
+        moved = unpack(b"1 %d\n" % zlib.crc32(body) + body, rig.now, WALL)
+    else:
+        moved = unpack(pack(rig.router, rig.now), rig.now + 1e9, WALL)
+        moved = move_times(moved, -1e9)
+    assert moved.arrivals == pytest.approx(here.arrivals, abs=0.01) and here.arrivals
+    for there, worker in zip(moved.workers, here.workers, strict=True):
+        assert (there.heard, there.budget_at) == pytest.approx((worker.heard, worker.budget_at), abs=0.01)
+    fresh = Rig(SETTINGS)
+    fresh.now = rig.now
+    restore(fresh.router, moved)
+    assert fresh.router.functions["f"].copies.keys() == rig.router.functions["f"].copies.keys()
+
+
+def test_a_host_of_the_same_start_keeps_what_was_learned_of_it_however_late_the_list_puts_it() -> None:
+    rig, fresh = learned(), Router(SETTINGS, 1)
+    stamped = tuple(replace(w, started=rig.now - 400, start_stamp=WALL) for w in workers(3))
+    rig.give(i.WorkersListed(i.ListScope.CHANGES, stamped))
+    rig.router.believe(rig.router.functions["f"], 1)
+    later = tuple(replace(w, started=rig.now) for w in stamped)
+    fresh.handle(rig.now, [i.WorkersListed(i.ListScope.REMEMBERED, later)])
+    restore(fresh, unpack(pack(rig.router, rig.now), rig.now, WALL))
+    assert fresh.functions["f"].copies.keys() == {1}
+    assert {w.started for w in fresh.workers.values()} == {rig.now - 400}
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
