--- a/harrieryoke/core/clock.py
+++ b/harrieryoke/core/clock.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
-NOTICEABLE_STEP_MS = (
-    50.0  # smaller differences are the slewing of the wall clock, or a pause between two readings
-)
+NOTICEABLE_STEP_MS = 50.0  # a smaller difference is the slewing of the wall clock
+SAME_MOMENT_MS = 10.0  # readings that lie further apart don't compare: the process stood still between them
 
 
 def now_ms() -> float:
@@ -27,20 +27,15 @@
 class WallClockWatch:
     """Notices when the wall clock was set: it then moved by another span than the monotonic clock."""
 
-    def __init__(self) -> None:
-        self.offset = self.read_offset()
-
-    @staticmethod
-    def read_offset() -> float:
-        """Return by how many milliseconds the wall clock is ahead of the monotonic clock."""
-        return wall_ms() - now_ms()
+    def __init__(self, clock: Callable[[], float] = now_ms, wall: Callable[[], float] = wall_ms) -> None:
+        self.clock, self.wall = clock, wall
+        self.ahead = wall() - clock()  # of the monotonic clock, in milliseconds
 
     def read_step(self) -> float:
         """Return by how many milliseconds the wall clock was stepped since the last call; 0.0 for no step.
         Negative where it was set back."""
-        offset = self.read_offset()
-        step = offset - self.offset
-        if abs(step) < NOTICEABLE_STEP_MS:
+        before, wall = self.clock(), self.wall()
+        if self.clock() - before > SAME_MOMENT_MS:
             return 0.0
-        self.offset = offset
-        return step
+        step, self.ahead = wall - before - self.ahead, wall - before
+        return step if abs(step) >= NOTICEABLE_STEP_MS else 0.0
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from harrieryoke.core.clock import NOTICEABLE_STEP_MS, WallClockWatch
 from harrieryoke.net import frames
 
 from .faults.clock import NoCompilerError, WallClockShim, build_shim
@@ -119,6 +120,8 @@
     window = WINDOWS[case]
     with invoker(tmp_path, **window.kind) as scene:
         scene.play(f"{window.before}\nsend clock {STEPS[step]}\n{window.within}")
+        if STEPS[step]:
+            scene.wait(f"the wall clock was set {'back' if STEPS[step] < 0 else 'ahead'} by ")
         time.sleep(1.2 * WINDOW_MS / 1000)
         scene.play(window.past)
 
@@ -170,6 +173,24 @@
         assert 2000 < int(frame.fields["patience"]) <= 2500
 
 
+def test_a_watch_over_the_wall_clock_tells_steps_from_slewing_and_from_pauses() -> None:
+    time_ms, base = 0.0, 1e12
+    delays = iter([0.0] * 6 + [4000.0] + [0.0] * 30)  # how long the process stands still before each reading
+
+    def now() -> float:
+        nonlocal time_ms
+        time_ms += next(delays)
+        return time_ms
+
+    watch = WallClockWatch(now, lambda: base + now())
+    assert [watch.read_step(), watch.read_step()] == [0.0, 0.0] and time_ms == 4000.0, "a pause is no step"
+    base -= 3000.0
+    assert watch.read_step() == -3000.0
+    for _ in range(5):
+        base += 0.9 * NOTICEABLE_STEP_MS
+        assert watch.read_step() == 0.0
+
+
 def test_the_shim_names_a_missing_compiler() -> None:
     with pytest.raises(NoCompilerError, match="no C compiler 'no-such-cc' on PATH"):
         build_shim("no-such-cc")
