Count requests that waited while the process stood still from when they came

Cause: the reader stamps a line when it posts it (net/client.py), and the router counts a request from the round that it is handled in (count_in in state.py). What waited in the kernel through a pause looks younger than it is: the limit on load orders is granted on requests older than its window, and hosts are given time that the client no longer has. Seen with SIGSTOP of 1.2 s against a real invoker.

Change: core/pauses.py notices that the front woke too late; what is read right after counts from the begin of the pause, and the router takes the time that the front gives.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -432,7 +432,7 @@
         if e.request in self.requests:
             return
         kind = self.s.classes[min(e.class_index, len(self.s.classes) - 1)]
-        self.count_in(self.s.ration_window + self.s.tick)
+        came = self.count_in(e.taken, self.s.ration_window + self.s.tick)
         gap, self.last_arrival = self.now - self.last_arrival, self.now
         self.stalled += gap if gap > self.s.keep_alive / 8 else 0.0  # a stall must not read as no demand
         self.calls = 1 + self.calls * exp2(-gap / self.s.keep_alive / 0.69)
@@ -441,8 +441,8 @@
             f = Function(e.function, digest(e.function), e.class_index, e.load_time or kind.aim, kind.aim / 4)
             self.functions[e.function] = f
         f.memory, f.lanes, f.used = e.memory, max(1, e.lanes), self.now - self.stalled
-        aimed = self.now + min(kind.aim, e.wanted or kind.aim)
-        r = self.requests[e.request] = Request(e, kind, self.now, aimed, kind.worth, self.s.max_attempts)
+        aimed = came + min(kind.aim, e.wanted or kind.aim)
+        r = self.requests[e.request] = Request(e, kind, came, aimed, kind.worth, self.s.max_attempts)
         bucket = self.allowances.get(e.tenant)  # a second deep, at least one call
         if bucket and bucket.rate and not bucket.take(self.now, bucket.rate / 1000, max(1.0, bucket.rate)):
             r.worth *= self.s.over_share_worth
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -87,6 +87,7 @@
             False,
             call.bias,
             call.wanted,
+            call.taken or None,
         )
 
     def withdraw(self, call: Call) -> i.RequestDropped | None:
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -207,6 +207,7 @@
     repeat: bool = False
     bias: Mapping[int, float] | None = None  # advice: worker -> factor on its cost; above 1 avoids it
     wanted: float | None = None  # advice: an aim shorter than the class's
+    taken: float | None = None  # when it came, where that was before this round
 
 
 @dataclass(frozen=True, slots=True)
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -15,6 +15,7 @@
 from ..core.calls import BadCall, CallMaker
 from ..core.clock import now_ms
 from ..core.module import ModuleActor
+from ..core.pauses import PauseWatch
 from ..core.records import Call
 from ..limits import Limits
 from ..log import Log
@@ -98,12 +99,14 @@
         limits: Limits,
         log: Log,
         gone: Callable[[ClientActor], object],
+        pauses: PauseWatch,
     ) -> None:
         # the reserve is kept for answers: they must find room however fast a client writes
         super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
         # a client that reads nothing for this long loses its connection
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.gone = sock, maker, core, limits, gone
+        self.pauses = pauses
         self.client, self.peer = name, name.rpartition(":")[0]
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
@@ -112,6 +115,7 @@
         self.going: PassOn | None = None
         self.partial = b""  # of a line that is not yet whole
         self.unposted: list[bytes] = []  # whole lines that are not in the mailbox yet, the newest first
+        self.came = 0.0  # when they came, at the earliest
         self.used = now_ms()  # the last sign of life, or the first byte of a line that is not yet whole
         self.asked = False  # a whole line has come
         # usual answers to all requests that may be open at once, and some long ones among them
@@ -190,8 +194,10 @@
         if max(map(len, [*lines, partial])) > self.limits.line_bytes:
             self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
             return False
+        now = now_ms()
+        self.came = self.pauses.earliest(now)
         if lines or not self.partial:
-            self.used = now_ms()
+            self.used = now
         self.asked, self.partial, self.unposted = self.asked or bool(lines), partial, lines[::-1]
         return True
 
@@ -201,7 +207,7 @@
         behind what was not read, so `recv` would show it too late."""
         while self.unposted and not self.over:
             if len(self.box) < self.bound - self.reserve:
-                self.tell(Line(self.unposted.pop(), now_ms()))
+                self.tell(Line(self.unposted.pop(), self.came))
             elif has_hung_up(self.sock):
                 return False
             else:
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -14,6 +14,7 @@
 from ..core.calls import CallMaker
 from ..core.clock import now_ms
 from ..core.module import ModuleActor
+from ..core.pauses import PauseWatch
 from ..limits import Limits
 from ..log import Log
 from .client import ClientActor, CloseIfIdle, PassOn
@@ -87,6 +88,7 @@
         self.listeners = 0  # greenlets that accept, or have accepted and still hold a connection
         self.yielded: PassOn | None = None
         self.listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.pauses = PauseWatch(now_ms(), limits.sweep_ms, log)
 
     def start(self, listening: socket.socket | None = None, shared: bool = False) -> None:
         """Accepts on the listening socket that another process handed over, or on one of its own, which
@@ -100,6 +102,7 @@
                 self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             self.listening.bind(self.where)
             self.listening.listen(BACKLOG)
+        self.pauses.seen = now_ms()  # the start is no pause: nobody could ask before
         super().start()
         self.open()
 
@@ -148,6 +151,7 @@
             self.wait(self.limits.sweep_ms)
             self.work()
             now = now_ms()
+            self.pauses.wake(now)
             if now - swept >= self.limits.sweep_ms:
                 # after a pause of this process, all idle clients look stale at once, and would be closed with
                 # a request of theirs on its way
@@ -226,7 +230,14 @@
             sock.close()
             return
         client = ClientActor(
-            sock, name, self.maker, self.core, self.limits, self.log, lambda c: self.push(Gone(c))
+            sock,
+            name,
+            self.maker,
+            self.core,
+            self.limits,
+            self.log,
+            lambda c: self.push(Gone(c)),
+            self.pauses,
         )
         self.clients[client], client.asked = False, asked
         client.start()
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -189,10 +190,13 @@
             for kept in (f.copies, f.mine, f.avoid, f.missed):
                 kept.pop(wid, None)
 
-    def count_in(self, window: float) -> None:
-        """One more call, now; those older than the window are forgotten."""
-        self.arrivals.append(self.now)
+    def count_in(self, taken: float | None, window: float) -> float:
+        """One more call, which came at `taken` or now: returns when. Those older than the window are
+        forgotten."""
+        came = self.now if taken is None else min(taken, self.now)
+        insort(self.arrivals, came)
         count_since(self.arrivals, self.now - window)
+        return came
 
     def count_out(self, arrived: float) -> None:
         """A call that its client took back no longer counts."""
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -13,7 +13,9 @@
 
 from harrieryoke import interface as i
 from harrieryoke.core.calls import CallMaker
+from harrieryoke.core.clock import now_ms
 from harrieryoke.core.metrics import Metrics
+from harrieryoke.core.pauses import PauseWatch
 from harrieryoke.core.records import Call
 from harrieryoke.core.records import Front as CallFront
 from harrieryoke.limits import Limits
@@ -99,7 +101,10 @@
         told: Any = Limits(**{"write_ms": LONG_MS} | limits)
         core: Any = self.core
         maker = CallMaker(KINDS, told)
-        self.actor = ClientActor(served, "c:1", maker, core, told, self.log, lambda _: self.gone.set())
+        pauses = PauseWatch(now_ms(), LONG_MS, self.log)
+        self.actor = ClientActor(
+            served, "c:1", maker, core, told, self.log, lambda _: self.gone.set(), pauses
+        )
         self.actor.start()
 
     def send(self, *lines: bytes) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -173,6 +173,37 @@
         assert 2000 < int(frame.fields["patience"]) <= 2500
 
 
+@pytest.mark.parametrize("stopped", [False, True])
+def test_requests_that_wait_through_a_pause_count_from_when_they_came(stopped: bool, tmp_path: Path) -> None:
+    """The process stands still for most of a window, and is asked at its begin: once the window is over those
+    requests buy no order."""
+    with invoker(tmp_path, settings=rationed(floor=0, share=0.4)) as scene:
+        scene.play("send c1 probe 1\nexpect c1 1 healthy")
+        time.sleep(0.3)
+        scene.play("send node STOP" if stopped else "")
+        began = time.monotonic()
+        for number in range(2, 7):
+            scene.play(f"send c1 call {number} weight-read obj={ONE}")
+        time.sleep(0.8 * WINDOW_MS / 1000)
+        scene.play("send node CONT")
+        for number in range(2, 7):
+            scene.play(f"expect h1 request asset={ONE}\nsend h1 ok n=w\nexpect c1 {number} result")
+        time.sleep(max(0.0, began + 1.2 * WINDOW_MS / 1000 - time.monotonic()))
+        scene.play(missed(7, OTHER).replace("c1", "c2"))
+        assert " order " not in scene.log() and ("stood-still" in scene.log()) == stopped
+
+
+def test_a_request_that_waited_through_a_pause_has_only_what_is_left_of_its_time(tmp_path: Path) -> None:
+    with invoker(tmp_path) as scene:
+        scene.play(
+            "send c1 probe 1\nexpect c1 1 healthy\nsend node STOP\nsend c1 call 2 weight-read budget=3000"
+        )
+        time.sleep(1.2)
+        scene.play("send node CONT")
+        frame = scene.parties["h1"].frame()
+        assert frame is not None and 1000 < int(frame.fields["patience"]) <= 1800
+
+
 def test_a_watch_over_the_wall_clock_tells_steps_from_slewing_and_from_pauses() -> None:
     time_ms, base = 0.0, 1e12
     delays = iter([0.0] * 6 + [4000.0] + [0.0] * 30)  # how long the process stands still before each reading
