Hold errors of this machine against no model host, and wait for sockets at the start

Cause, found with a shim that makes system calls of a real invoker fail (tests/faults, extended from the clock's): an error of this machine was read as one of the peer, or was not waited for. One failed socket() at the start ended the process. ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH and EINTR took a living host for dead and cold; EMFILE used up a call's attempts in 10 ms; an ask or order that was never sent counted as an answer of the host, and for the limit on load orders. At a stop 512 tries of accept went by in 1 ms and the backlog was reset. The kernel's ETIMEDOUT on a read was taken for the read's own time-out.

--- a/harrieryoke/admin/server.py
+++ b/harrieryoke/admin/server.py
@@ -16,8 +16,11 @@
 from ..limits import Limits
 from ..log import Log
 from ..net.hostlist import Ban
+from ..net.listening import wait_for_listener
 from .commands import COMMANDS, format_metrics, parse_command
 
+BACKLOG = 128  # callers that the machine accepts ahead of the listener
+
 
 class Caller(msgspec.Struct, eq=False):
     """One connection. `last_received` is when data last came from it. It is `idle` while the server waits for
@@ -55,11 +58,7 @@
 
     def start(self) -> None:
         """Start to listen. Raises OSError if the address can't be bound."""
-        # create_server would make a socket that blocks the whole process
-        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind(self.address)
-        listening.listen(128)
+        listening = wait_for_listener(self.address, BACKLOG, self.limits, self.log)
         self.metrics.watched = True
         spawn(self.log, "management listener", lambda: self.accept(listening))
 
--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from . import interface as i
-from .interface import Drain, Effect, Found, Group, ListScope, Outcome
+from .interface import Drain, Effect, Found, ListScope, Outcome
+from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED, adapt_limit
+from .repeat_rules import may_refuse, may_repeat
 from .state import NEVER, Bucket, Copy, Function, Load, Memory, Request, Worker, count_since, digest
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
-FIRST_LIMIT, LEAST_LIMIT = 16.0, 3.0  # attempts at a worker, of all front ends: at first, under strain
-STRAINED = 0.6  # share of the aim that answers take when a worker has too much to do
 ORDERS_FIRST, ORDERS_LEAST, ORDERS_MOST = 6.0, 2.0, 12.0  # own orders in progress
 HALF = 0.45  # of a request's time: a refusal that leaves now still comes within its first half
 IDLE_WINDOW = 3.0  # keep-alives without use until renewal stops
@@ -107,14 +107,16 @@
         return f.class_index in w.doubts and w.doubts[f.class_index][0] > self.now
 
     def open(self, wid: int, f: Function) -> bool:
-        return self.usable(self.workers[wid]) and not self.doubted(self.workers[wid], f)
+        w = self.workers[wid]
+        return self.usable(w) and not self.doubted(w, f) and not w.hold_off.holds(self.now)
 
     def warmth(self, w: Worker) -> float:
         grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
         return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
 
     def has_room(self, w: Worker, r: Request) -> bool:
-        return len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
+        held_off = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
+        return len(w.flying) < w.load.limit and not held_off
 
     def within_budget(self, w: Worker) -> bool:
         """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
@@ -206,6 +208,7 @@
 
     def back(self, w: Worker) -> None:
         w.heard = self.heard = self.now
+        w.hold_off.end()
         self.zones[w.entry.zone] = 0
         if w.out and w.lost:  # it may have started at any moment until this answer
             self.begin_cold(w, self.now)
@@ -309,7 +312,10 @@
         if not (w := self.workers.get(e.worker)):
             return
         w.asked = False
-        if e.outcome is Outcome.RESET and not w.out:
+        if e.outcome is Outcome.NOT_SENT:  # nothing was asked: this tells nothing of the worker
+            w.hold_off.extend(self.now, self.s.connect_timeout)
+            self.later(w.backoff * (0.5 + self.rng.random()), self.ask, w)
+        elif e.outcome is Outcome.RESET and not w.out:
             self.cut_off(w)
         elif e.outcome in (Outcome.NO_CONNECTION, Outcome.TIMEOUT, Outcome.RESET):  # a lost ask: once more
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
@@ -317,12 +323,11 @@
             self.back(w)
         if not (f := self.functions.get(e.function)):
             return
-        sent, self.touched[f.name] = f.pending.pop(e.worker, None), f
+        sent, self.touched[f.name] = self.unbook_order(f, e.worker, e.outcome is not Outcome.NOT_SENT), f
         if e.copies > 0:
             self.believe(f, e.worker, e.copies)
-        if sent is None:
+        if sent is None or e.outcome is Outcome.NOT_SENT:
             return
-        self.ordering -= 1
         stretch, change = e.took / f.load_time, 0.0
         if e.outcome is not Outcome.OK:
             f.avoid[e.worker], change = self.now + f.load_time, -1.0 if e.outcome is Outcome.ERROR else 0.0
@@ -369,12 +374,7 @@
 
     def may_go(self, r: Request, w: Worker) -> bool:
         """Rule two: what may have run goes out again only as its class allows."""
-        kind = r.kind
-        return kind.effect is Effect.SAFE or not r.ran or (kind.effect is Effect.KEYED and all(
-            self.now - sent < kind.repeat_window - self.s.tick
-            and (kind.group is not Group.ZONE or past.zone == w.entry.zone)
-            and (kind.group is not Group.CELL or past.cell == w.entry.cell)
-            for past, sent in r.ran))  # fmt: skip
+        return may_repeat(r.kind, r.ran, w.entry, self.now, self.s.tick)
 
     def choose(self, f: Function, r: Request) -> int | None:
         """The copy with fewest attempts for its lanes and its worker's pace; a draw stands for the unseen."""
@@ -500,6 +500,8 @@
             self.held += 0.05 * (w.held - self.held)
         if e.outcome is Outcome.NO_CONNECTION:
             self.take_out(w, dead=True)
+        elif e.outcome is Outcome.NOT_SENT:
+            w.hold_off.extend(self.now, self.s.connect_timeout)
         elif e.outcome is Outcome.RESET:
             self.cut_off(w)
         elif e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
@@ -531,16 +533,9 @@
         told = e.outcome is Outcome.OK or self.strain_at(w) > STRAINED / 2 or not self.doubted(w, f)
         if told and not (unanswered and self.hung(w, f, sent)) and (e.outcome is Outcome.OK or unanswered):
             # what never came back tells of a crowd too, else many front ends keep each other's queues full
-            self.adapt(w.load, min(3.0, e.took / aim), len(w.flying))
-
-    def adapt(self, load: Load, took: float, flying: int) -> None:
-        """Fewer attempts at a time where answers come near the aim, more where they are quick and wanted."""
-        self.strain += 0.1 * (took - self.strain)
-        load.strain += 0.1 * (took - load.strain)
-        if load.strain > STRAINED:
-            load.limit = max(1.0, LEAST_LIMIT / self.s.front_ends, 0.95 * load.limit)
-        elif flying + 1 > 0.7 * load.limit:
-            load.limit += 0.2
+            took = min(3.0, e.took / aim)
+            self.strain += 0.1 * (took - self.strain)
+            adapt_limit(w.load, took, len(w.flying), self.s.front_ends)
 
     def widen(self, f: Function, share: float) -> None:
         """More places for a function whose copies hold more than their lanes, fewer for one that has room."""
@@ -551,9 +546,8 @@
     def end(self, r: Request) -> None:
         """The final answer of what cannot be served: a refusal where that is lawful, else a failure."""
         if not r.done and not r.flying:
-            free = r.kind.effect is Effect.SAFE or (r.kind.effect, r.kind.group) == (Effect.KEYED, Group.ALL)
             rid, away = r.event.request, self.s.max_retry_after if self.s.tells_retry_after else None
-            self.say(i.Fail(rid) if r.ran and not free else i.Refuse(rid, away or None))
+            self.say(i.Refuse(rid, away or None) if may_refuse(r.kind, r.ran) else i.Fail(rid))
             self.close(r.event)
 
     def close(self, e: i.RequestDropped | i.AttemptEnded | i.RequestArrived) -> None:
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -33,6 +33,7 @@
     client_ask_ms: float = 2000.0
     client_fresh_ms: float = 100.0
     sweep_ms: float = 250.0
+    start_ms: float = 20000.0  # a start waits this long for sockets that the machine has not at the moment
     link_idle_ms: float = 30000.0
     timer_slack_ms: float = 5.0
     answer_margin_ms: float = 8.0
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -14,6 +14,7 @@
 from ..core.actor import Actor, spawn
 from ..core.calls import BadCall, CallMaker
 from ..core.clock import now_ms
+from ..core.local_errors import is_broken_off
 from ..core.module import ModuleActor
 from ..core.pauses import PauseWatch
 from ..core.records import Call
@@ -180,7 +181,9 @@
             while self.post():
                 try:
                     data = self.sock.recv(self.limits.line_bytes // 4)
-                except TimeoutError:
+                except TimeoutError as error:
+                    if is_broken_off(error):
+                        break
                     continue
                 if not data or not self.cut(self.partial + data):
                     break
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -12,6 +12,7 @@
 from .. import interface as i
 from ..core.actor import Actor, spawn
 from ..core.clock import now_ms
+from ..core.local_errors import is_broken_off, is_local
 from ..core.metrics import Metrics
 from ..core.records import Attempt, Order, Task, TaskEnded
 from ..limits import Limits
@@ -21,7 +22,7 @@
 from .link import HostSocket, Link, Unsent, host_socket
 
 FIRST_OWN_ID = 1 << 63  # of orders and probes; requests bring their ids, and must not meet these on a link
-NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+NOT_DEAD = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH)  # a dead host's machine refuses
 
 
 class NoRoomForLinkError(Exception):
@@ -349,25 +350,35 @@
         return link.asked is not None and now_ms() - link.asked > times * self.silence
 
     def connect(self) -> HostSocket:
-        dialled = (self.standing.address, self.limits.dial_ms / 1000)
+        """Raises OSError; of one that may have passed already, the second."""
         try:
-            return host_socket(socket.create_connection(*dialled))
-        except ConnectionResetError:
-            # a dead host refuses, it does not reset: one that is alive must not be taken for dead
-            return host_socket(socket.create_connection(*dialled))
+            return self.connect_once()
+        except OSError as error:
+            # guards against taking a host that is alive for dead; no answer within the time has no number
+            if error.errno not in NOT_DEAD:
+                raise
+            return self.connect_once()
+
+    def connect_once(self) -> HostSocket:
+        sock = host_socket(socket.create_connection(self.standing.address, self.limits.dial_ms / 1000))
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # guards against a host that vanished: what it does not acknowledge in this time ends the link
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
+        except OSError:
+            sock.close()
+            raise
+        sock.settimeout(self.limits.write_ms / 1000)
+        return sock
 
     def dial(self) -> Link | None:
         try:
             sock = self.connect()
         except OSError as error:
             self.log("dial-failed", f"{self.name}: {error}")
-            if error.errno in NO_DESCRIPTOR:
+            if is_local(error):
                 raise NoRoomForLinkError(str(error)) from error
             return None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # guards against a host that vanished with its link open: what it does not acknowledge ends the link
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
-        sock.settimeout(self.limits.write_ms / 1000)
         link = Link(sock, frames.Decoder(self.limits.answer_bytes), used=now_ms())
         self.links.append(link)
         spawn(self.log, f"{self.name} reader", lambda: self.read(link))
@@ -388,7 +399,9 @@
             while True:
                 try:
                     data = link.sock.recv(65536)
-                except TimeoutError:
+                except TimeoutError as error:
+                    if is_broken_off(error):
+                        raise
                     continue
                 if not data:
                     break
--- /dev/null
+++ b/harrieryoke/net/listening.py
@@ -0,0 +1,33 @@
+"""Listening sockets, waited for where the machine has none at the moment."""
+
+from __future__ import annotations
+
+from gevent import socket
+
+from ..core.local_errors import retry_local
+from ..limits import Limits
+from ..log import Log
+
+
+def bind_listener(address: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
+    """Return a listening socket, which other processes may be `shared` with. Raises OSError."""
+    # create_server would make a socket that blocks the whole process
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        listening.bind(address)
+        listening.listen(backlog)
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
+def wait_for_listener(
+    address: tuple[str, int], backlog: int, limits: Limits, log: Log, shared: bool = False
+) -> socket.socket:
+    """As `bind_listener`, again and again while the machine refuses what it has at other times. Raises
+    OSError for any other error, and once `limits.start_ms` have gone by."""
+    return retry_local("listen", lambda: bind_listener(address, backlog, shared=shared), limits.start_ms, log)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -6,18 +6,19 @@
 from dataclasses import dataclass
 from typing import Any
 
-import gevent
 from gevent import socket
 from gevent.event import Event
 
 from ..core.actor import Actor, spawn
 from ..core.calls import CallMaker
 from ..core.clock import now_ms
+from ..core.local_errors import Pauses, retry_local
 from ..core.module import ModuleActor
 from ..core.pauses import PauseWatch
 from ..limits import Limits
 from ..log import Log
 from .client import ClientActor, CloseIfIdle, PassOn
+from .listening import wait_for_listener
 
 BACKLOG = 512  # connections that the machine accepts ahead of the listener
 
@@ -87,33 +88,30 @@
         self.room = Event()  # a client has gone
         self.listeners = 0  # greenlets that accept, or have accepted and still hold a connection
         self.yielded: PassOn | None = None
-        self.listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listening: socket.socket | None = None
         self.pauses = PauseWatch(now_ms(), limits.sweep_ms, log)
 
     def start(self, listening: socket.socket | None = None, shared: bool = False) -> None:
         """Accepts on the listening socket that another process handed over, or on one of its own, which
         others may be `shared` with where that handing over can fail. Raises OSError."""
-        if listening is not None:
-            self.listening.close()
-            self.listening = listening
-        else:
-            self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if shared:
-                self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            self.listening.bind(self.where)
-            self.listening.listen(BACKLOG)
+        if listening is None:
+            listening = wait_for_listener(self.where, BACKLOG, self.limits, self.log, shared)
+        self.listening = listening
         self.pauses.seen = now_ms()  # the start is no pause: nobody could ask before
         super().start()
         self.open()
 
     def open(self) -> None:
-        """A descriptor of its own to accept on: while others accept, the listening socket is kept."""
-        self.entry = entry = self.listening.dup()
+        """A descriptor of its own to accept on: while others accept, the listening socket is kept. Raises
+        OSError."""
+        assert self.listening is not None, "open comes after start"
+        self.entry = entry = retry_local("listen", self.listening.dup, self.limits.start_ms, self.log)
         self.listeners += 1
         spawn(self.log, "listener", lambda: self.accept(entry), lambda: self.push(ListenerEnded(entry)))
 
     def accept(self, entry: socket.socket) -> None:
         """The listener's greenlet, until its descriptor is closed."""
+        pauses = Pauses()
         while not self.over:
             self.wait_for_room(entry)
             try:
@@ -123,8 +121,9 @@
                     return
                 # where descriptors have run out, the listener waits and goes on
                 self.log("accept-failed", str(error))
-                gevent.sleep(0.05)
+                pauses.wait()
                 continue
+            pauses.reset()
             if (accepted := set_up(sock, peer, self.log)) is not None:
                 self.push(accepted)
 
@@ -203,14 +202,19 @@
         if self.yielded is None:
             self.take_backlog()
         self.entry.close()
-        self.listening.close()
+        if self.listening is not None:
+            self.listening.close()
         self.send_away()
         for client in [c for c, leaves in self.clients.items() if not leaves]:
             self.dismiss(client, "the process stops")
 
     def take_backlog(self) -> None:
-        """Connections that the machine has accepted and nobody has taken: the close would reset them."""
+        """Connections that the machine has accepted and nobody has taken: the close would reset them. Where
+        none can be taken at the moment they are waited for."""
+        if self.listening is None:
+            return
         self.listening.settimeout(0)
+        give_up_at, pauses = now_ms() + self.limits.stop_accepting_ms, Pauses()
         for _ in range(BACKLOG):
             try:
                 sock, peer = self.listening.accept()
@@ -218,7 +222,11 @@
                 return
             except OSError as error:
                 self.log("accept-failed", str(error))
+                if now_ms() >= give_up_at:
+                    return
+                pauses.wait()
                 continue
+            pauses.reset()
             if (accepted := set_up(sock, peer, self.log)) is not None:
                 self.accepted(accepted.sock, accepted.name, accepted.asked)
 
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 from typing import Any
 
+from .hold_off import HoldOff
 from .interface import Action, Drain, RequestArrived, RequestClass, SetTimer, WorkerEntry
 
 NEVER = -1e18
@@ -71,6 +72,7 @@
     load: Load
     slow: float = 1.0  # answers' time against the usual of their function
     budget: Bucket = field(default_factory=Bucket)  # sends while it is cold
+    hold_off: HoldOff = field(default_factory=HoldOff)
     up: bool = True
     dead: bool = False  # it refused a connection when last tried
     out: bool = False  # taken out until an ask is answered
@@ -209,6 +211,15 @@
         self.ordering += 1
         self.ordered.append(self.now)
 
+    def unbook_order(self, f: Function, wid: int, sent: bool) -> float | None:
+        """Takes an order that has ended out of all counts: when it was given, None where nobody knows of it.
+        One that was never sent counts for no ration."""
+        at = f.pending.pop(wid, None)
+        self.ordering -= at is not None
+        if at is not None and not sent and at in self.ordered:
+            self.ordered.remove(at)
+        return at
+
     def book(self, r: Request, f: Function, w: Worker) -> tuple[int, int]:
         """Notes a new attempt everywhere it counts."""
         key, wid = (r.event.request, r.attempts), w.entry.worker
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -280,6 +280,8 @@
         """Send a new process the listening socket, the bans and the learned state."""
         from ..state_transfer import pack
 
+        listening = self.front.listening
+        assert listening is not None, "nobody takes over before the front listens"
         packed: AsyncResult = AsyncResult()
         state = b""
         # a router too busy to answer must not hold up the handover: the new process then starts without state
@@ -291,7 +293,7 @@
         self.links.append(link)
         try:
             header = msgspec.json.encode(HandoverHeader(len(state), self.hosts.bans())) + b"\n"
-            link.send_with_descriptor(header + state, self.front.listening.fileno())
+            link.send_with_descriptor(header + state, listening.fileno())
         except OSError as error:
             self.log("upgrade-link", str(error))
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,8 +7,9 @@
     get ADDRESS METHOD PATH STATUS                      one request of the operators' HTTP
 
 Parties: `c...` clients, `m...` operators, `h...` model hosts, `bus` and `bus2`, `broker`, `config` (its
-file), `clock` (its wall clock: `send clock MS` steps it, back where negative), and `node` (the process:
-`send node TERM`, `expect node exit 0`). That nothing comes is seen by what comes next: it must be what is
+file), `clock` (its wall clock: `send clock MS` steps it, back where negative), `calls` (its system calls:
+`send calls fail socket ENOBUFS [name=value ...]`, `send calls clear`), and `node` (the process: `send node
+TERM`, `expect node exit 0`). That nothing comes is seen by what comes next: it must be what is
 expected then.
 """
 
@@ -30,7 +31,7 @@
 from harrieryoke.net import frames
 
 from .broker import Broker, Publication, until
-from .faults.clock import WallClockShim
+from .faults.shim import FaultShim
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # seconds until a step that should come at once is held to have failed
@@ -158,7 +159,7 @@
         broker: Broker | None = None,
         window: int = 6000,
         settings: dict[str, Any] | None = None,
-        clock: WallClockShim | None = None,
+        shim: FaultShim | None = None,
     ) -> None:
         """`operator` is TOML in which BROKER stands for the broker's address; `window` of keyed classes.
         Hosts have the first zone and flavor of the `settings`, which are SETTINGS if none are given."""
@@ -187,9 +188,9 @@
         }
         self.config = config
         self.send_config()
-        self.clock = clock
-        shim = {} if clock is None else clock.environment()
-        env = os.environ | shim | {"RELAY_CONFIG": str(folder / "config.json")}
+        self.shim = shim
+        faults = {} if shim is None else shim.environment()
+        env = os.environ | faults | {"RELAY_CONFIG": str(folder / "config.json")}
         command = [sys.executable, "-m", "harrieryoke", "serve"]
         if operator:
             told = operator.replace("BROKER", self.broker.address())
@@ -261,9 +262,9 @@
             return self.talk_to_broker(verb, words)
         if name == "config":
             return self.send_config(*words)
-        if name == "clock":
-            assert self.clock is not None, "the scene was made without a clock to step"
-            return self.clock.step(float(words[0]))
+        if name in ("clock", "calls"):
+            assert self.shim is not None, "the scene was made without a shim"
+            return self.shim.step_clock(float(words[0])) if name == "clock" else self.shim.tell(words)
         if name not in self.parties and name[0] in "cm":
             host, port = (self.address if name[0] == "c" else self.management).split(":")
             self.parties[name] = Party(sock=socket.create_connection((host, int(port)), PATIENCE))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
-BRAIN = (ROOT / "harrieryoke" / "brain.py").read_text()
+POLICY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+SOURCES = {name: (ROOT / name).read_text() for name in POLICY}
 
 
-def test_the_decision_module_stays_within_its_pages() -> None:
-    lines = BRAIN.splitlines()
+@pytest.mark.parametrize("name", POLICY)
+def test_each_decision_module_stays_within_its_pages(name: str) -> None:
+    lines = SOURCES[name].splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 500
     assert max(map(len, lines)) <= 110
 
 
-def test_the_decision_module_names_its_interface_first_and_keeps_no_clock() -> None:
-    assert "`interface.py`" in BRAIN.splitlines()[0]
-    assert not re.search(r"\bhash\(|\btime\b\.|import time|import random|\bset\(", BRAIN)
+@pytest.mark.parametrize("name", POLICY)
+def test_no_decision_module_keeps_a_clock(name: str) -> None:
+    assert not re.search(r"\bhash\(|\btime\b\.|import time|import random|\bset\(", SOURCES[name])
+
+
+def test_the_decision_module_names_its_interface_first() -> None:
+    assert "`interface.py`" in SOURCES["harrieryoke/brain.py"].splitlines()[0]
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -5,7 +5,7 @@
 import copy
 import json
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -288,10 +288,8 @@
 
 
 @pytest.fixture
-def stage(tmp_path: Path) -> Iterator[Stage]:
-    made = Stage(tmp_path)
-    yield made
-    made.service.front.listening.close()
+def stage(tmp_path: Path) -> Stage:
+    return Stage(tmp_path)
 
 
 def counted(service: Service) -> tuple[int, int]:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -392,3 +392,42 @@
     asked = [i.RequestArrived(n, 0, "f", rig.now + 2000, lanes=4) for n in range(50, 55)]
     went = [worker for e in asked for _, worker in sends(rig.give(e))]
     assert len(went) == 5 and first in went and went.count(other) >= 2
+
+
+def test_an_ask_that_was_never_sent_brings_no_worker_back_and_is_asked_again() -> None:
+    rig = Rig(count=1)
+    head = covered(rig)
+    rig.ask(2)
+    rig.settle(2, O.NO_CONNECTION, 5)
+    assert rig.router.workers[head].out
+    for _ in range(3):
+        asked = [a for a in rig.wait(SETTINGS.keep_alive) if isinstance(a, i.OrderCopies) and not a.copies]
+        assert len(asked) == 1 and asked[0].worker == head
+        rig.give(i.OrderEnded(head, "f", O.NOT_SENT, 0, 5))
+        assert rig.router.workers[head].out and rig.router.workers[head].heard < rig.now
+
+
+def test_what_could_not_be_sent_waits_for_its_worker_ever_longer_until_that_is_heard() -> None:
+    rig = Rig(replace(SETTINGS, max_attempts=9))
+    head = covered(rig)
+    first = SETTINGS.connect_timeout / 8
+    rig.ask(2)
+    for n in range(3):
+        assert not sends(rig.settle(2, O.NOT_SENT, 1)), "no pause"
+        assert not sends(rig.wait(0.9 * first * 2**n))
+        assert sends(rig.wait(first * 2**n)) == [(2, head)]
+    assert not rig.router.workers[head].out and head in rig.router.functions["f"].copies
+    rig.settle(2)
+    rig.ask(3)
+    rig.settle(3, O.NOT_SENT, 1)
+    assert sends(rig.wait(2 * first)) == [(3, head)]
+
+
+def test_an_order_that_was_never_sent_counts_for_no_ration() -> None:
+    rig = Rig(replace(SETTINGS, ration_window=5000, ration_floor=1, ration_share=0), count=1)
+    rig.ask(1)
+    head = rig.attempts[1][0][0]
+    assert loads(rig.settle(1, O.MISS, 1)) == [(head, "f")]
+    rig.orders.clear()  # the rule counts what comes to a worker
+    rig.loaded(head, O.NOT_SENT)
+    assert loads(rig.wait(200)) == [(head, "f")], "the ration is spent on an order that never went out"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -26,7 +26,7 @@
 from harrieryoke.upgrade.bans import BanFile, BansError
 from harrieryoke.upgrade.link import short_socket_path
 
-from .faults.clock import WallClockShim
+from .faults.shim import FaultShim
 from .rig import SETTINGS, Rig, workers
 
 
@@ -111,10 +111,10 @@
 class SteppedRelays(Relays):
     """All processes read one wall clock, which a test steps."""
 
-    wall: WallClockShim | None = None
+    wall: FaultShim | None = None
 
     def shim(self) -> dict[str, str]:
-        self.wall = self.wall or WallClockShim(self.folder)
+        self.wall = self.wall or FaultShim(self.folder)
         return self.wall.environment()
 
 
@@ -145,7 +145,7 @@
     try:
         load = played(relays, 4.5)
         gevent.sleep(2.0)
-        relays.wall.step(step_ms)
+        relays.wall.step_clock(step_ms)
         gevent.sleep(0.5)
         old = relays.next()
         assert end(old)[0] == 0
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -15,7 +15,7 @@
 from harrieryoke.core.clock import NOTICEABLE_STEP_MS, WallClockWatch
 from harrieryoke.net import frames
 
-from .faults.clock import NoCompilerError, WallClockShim, build_shim
+from .faults.shim import FaultShim, NoCompilerError, build_shim
 from .scenario import SETTINGS, Scene
 
 HOUR_MS = 3_600_000.0
@@ -106,7 +106,7 @@
 @contextmanager
 def invoker(folder: Path, **kind: Any) -> Iterator[Scene]:
     """An invoker whose wall clock the step `send clock MS` sets."""
-    scene = Scene(folder, clock=WallClockShim(folder), **kind)
+    scene = Scene(folder, shim=FaultShim(folder), **kind)
     try:
         yield scene
     finally:
