--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -2,14 +2,16 @@
 
 from collections.abc import Callable, Iterator
 from itertools import islice
-from math import exp2, log1p, sqrt
+from math import exp2, inf, log1p, sqrt
 from random import Random
 from typing import Any
 
 from . import interface as i
+from .copy_width import widen
 from .interface import Drain, Effect, Found, ListScope, Outcome
 from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED, adapt_limit
 from .repeat_rules import may_refuse, may_repeat
+from .slow_start import is_quiet, take_call, warmth_at
 from .state import NEVER, Bucket, Copy, Function, Load, Memory, Request, Worker, count_since, digest
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
@@ -107,22 +109,23 @@
         return f.class_index in w.doubts and w.doubts[f.class_index][0] > self.now
 
     def open(self, wid: int, f: Function) -> bool:
-        w = self.workers[wid]
-        return self.usable(w) and not self.doubted(w, f) and not w.hold_off.holds(self.now)
+        return self.usable(w := self.workers[wid]) and not (self.doubted(w, f) or w.hold_off.holds(self.now))
 
     def warmth(self, w: Worker) -> float:
-        grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
-        return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
+        return warmth_at(self.now - w.started, self.s)
 
     def has_room(self, w: Worker, r: Request) -> bool:
-        held_off = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
-        return len(w.flying) < w.load.limit and not held_off
+        shut = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
+        return len(w.flying) < w.load.limit and not shut
 
     def within_budget(self, w: Worker) -> bool:
-        """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
-        of the fatal multiple of what a warm one gets from us, in fractions where many share it."""
-        share = self.warmth(w) * self.s.fall_multiple / 2 * self.calls / self.ups / self.s.keep_alive
-        return self.warmth(w) >= 1 or w.budget.take(self.now, share, max(1.0, share * self.s.fall_time / 2))
+        warmth = self.warmth(w)
+        return warmth >= 1 or take_call(w.budget, self.now, warmth, self.calls / self.ups, self.s)
+
+    def spread_budgets(self) -> None:
+        """Guards against a burst after a quiet time, when every front end would hold a whole call."""
+        for w in self.workers.values() if self.now < self.warm_at else ():
+            w.budget = Bucket(self.rng.random(), self.now)
 
     def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
         own = exp2(-8 * (self.now - w.heard) / self.s.keep_alive)
@@ -175,6 +178,7 @@
             return
         w, f, sent = self.attempts[key]
         if self.heard < sent:  # all are quiet: that proves nothing
+            self.unheard_since = min(self.unheard_since, sent)
             return self.later(self.patience(w, f) / 2, self.overdue, key)
         self.doubt(w, f)
         if w.served:
@@ -207,6 +211,10 @@
         return max(4 * f.usual, 2 * self.usual_time(w)) + load
 
     def back(self, w: Worker) -> None:
+        if self.now - self.unheard_since > self.s.keep_alive:  # all may have started anew meanwhile
+            for v in self.workers.values():
+                self.begin_cold(v, self.now)
+        self.unheard_since = inf
         w.heard = self.heard = self.now
         w.hold_off.end()
         self.zones[w.entry.zone] = 0
@@ -284,7 +292,7 @@
 
     def make_room(self, f: Function, wid: int) -> None:
         """Drops our idle extra copies at a worker that our account shows short of memory for this load."""
-        room = dict(enumerate(self.s.memory_by_kind)).get(self.workers[wid].entry.kind, float("inf"))
+        room = dict(enumerate(self.s.memory_by_kind)).get(self.workers[wid].entry.kind, inf)
         here = [g for g in self.functions.values() if wid in g.copies] if wid not in f.copies else []
         held = f.memory + sum(g.copies[wid].count * g.memory for g in here)
         for g in here:
@@ -321,7 +329,7 @@
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
         else:
             self.back(w)
-        if not (f := self.functions.get(e.function)):
+        if (f := self.functions.get(e.function)) is None:
             return
         sent, self.touched[f.name] = self.unbook_order(f, e.worker, e.outcome is not Outcome.NOT_SENT), f
         if e.copies > 0:
@@ -435,6 +443,8 @@
         came = self.count_in(e.taken, self.s.ration_window + self.s.tick)
         gap, self.last_arrival = self.now - self.last_arrival, self.now
         self.stalled += gap if gap > self.s.keep_alive / 8 else 0.0  # a stall must not read as no demand
+        if is_quiet(gap, self.calls, self.s.keep_alive):
+            self.spread_budgets()
         self.calls = 1 + self.calls * exp2(-gap / self.s.keep_alive / 0.69)
         if (f := self.functions.get(e.function)) is None:
             self.later(FORGET * self.s.keep_alive, self.fade, e.function)
@@ -516,7 +526,7 @@
             self.doubt(w, f)
         elif e.outcome is Outcome.FULL and r:  # it may be full for one tenant alone: the others go on
             w.full_until[r.event.tenant] = self.now + f.usual
-            self.widen(f, 1 + self.unseen)
+            widen(f, 1 + self.unseen, len(self.workers))
         elif e.outcome is Outcome.OK:
             sure, w.backoff = wid in f.copies and wid not in f.pending, 0.0
             copy = self.believe(f, wid)
@@ -526,7 +536,8 @@
             copy.others += 0.3 * (crowd - copy.others) if self.s.tells_crowd else 0.0
             if e.found in (Found.BEGAN_LOAD, Found.WAITED) or not (e.found or sure):
                 return  # its time tells of a load
-            self.widen(f, crowd / f.lanes / copy.count if self.s.tells_crowd else e.took / aim / STRAINED)
+            share = crowd / f.lanes / copy.count if self.s.tells_crowd else e.took / aim / STRAINED
+            widen(f, share, len(self.workers))
             w.slow += 0.1 * (min(8.0, e.took / f.usual) - w.slow)
             f.usual += 0.05 * (e.took - f.usual)
         unanswered = e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and e.took > aim
@@ -537,12 +548,6 @@
             self.strain += 0.1 * (took - self.strain)
             adapt_limit(w.load, took, len(w.flying), self.s.front_ends)
 
-    def widen(self, f: Function, share: float) -> None:
-        """More places for a function whose copies hold more than their lanes, fewer for one that has room."""
-        if share > 1:
-            f.width = min(len(self.workers), max(f.width, len(f.copies)) * min(2.0, share))
-        f.width = max(1.0, f.width * (0.97 if share < 0.5 else 1.0))
-
     def end(self, r: Request) -> None:
         """The final answer of what cannot be served: a refusal where that is lawful, else a failure."""
         if not r.done and not r.flying:
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
+from math import inf
 from typing import Any
 
 from .hold_off import HoldOff
@@ -142,6 +143,7 @@
 
     def __init__(self) -> None:
         self.now = self.stalled = self.last_arrival = self.heard = 0.0
+        self.unheard_since = inf  # when the first attempt was sent that is overdue, where all are silent
         self.zones: dict[int, int] = {}  # zone -> workers that went out since it was last heard
         self.held = 0.0  # mean of what reports told
         self.ups = 1  # the most workers that took calls at once, of those not forgotten
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -225,14 +225,19 @@
     return play
 
 
-def burst_after_quiet(fleet: ColdFleet) -> None:
-    """(g) Quiet for six seconds, then a call at each front end at once, and no host but the cold one."""
-    fleet.start([1])
-    fleet.traffic(6000, calls_a_second=5)
-    fleet.drain(list(range(2, HOSTS + 1)))
-    for n in range(len(fleet.routers)):
-        fleet.ask(n, "hot")
-    fleet.traffic(1000)
+def burst_after_quiet(usual_ms: float, quiet_ms: float) -> Callable[[ColdFleet], None]:
+    """(g) After a quiet time a call at each front end at once, and no host but the cold one."""
+
+    def play(fleet: ColdFleet) -> None:
+        fleet.start([1])
+        fleet.traffic(usual_ms)
+        fleet.traffic(quiet_ms, calls_a_second=5)
+        fleet.drain(list(range(2, HOSTS + 1)))
+        for n in range(len(fleet.routers)):
+            fleet.ask(n, "hot")
+        fleet.traffic(1000)
+
+    return play
 
 
 CASES: dict[str, Callable[[ColdFleet], None]] = {
@@ -252,7 +257,8 @@
     "e told 3 s late": told_late(3000),
     "e told 7 s late": told_late(7000),
     "f unequal": others_drain,
-    "g burst after quiet": burst_after_quiet,
+    "g burst after quiet": burst_after_quiet(0, 6000),
+    "g burst after 2 s of quiet": burst_after_quiet(1000, 2000),
 }
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -431,3 +431,38 @@
     rig.orders.clear()  # the rule counts what comes to a worker
     rig.loaded(head, O.NOT_SENT)
     assert loads(rig.wait(200)) == [(head, "f")], "the ration is spent on an order that never went out"
+
+
+@pytest.mark.parametrize(("silent_ms", "cold"), [(1.2 * SETTINGS.keep_alive, True), (4000.0, False)])
+def test_after_a_keep_alive_in_which_nobody_answered_all_workers_are_cold(
+    silent_ms: float, cold: bool
+) -> None:
+    """Each may have started anew meanwhile, and nobody was there to be told."""
+    rig = Rig()
+    covered(rig)
+    rig.wait(SETTINGS.cold_period)
+    last = int(silent_ms / 500)
+    for n in range(10, 10 + last):
+        rig.ask(n)
+        rig.wait(500)
+    rig.give(i.WorkersListed(i.ListScope.CHANGES, workers(1)))  # a list tells of nobody's life
+    open_ = rig.open_attempts()
+    assert open_ and all(w.heard < rig.now - silent_ms for w in rig.router.workers.values())
+    rig.settle(open_[-1])
+    assert all(w.started == rig.now for w in rig.router.workers.values()) == cold
+
+
+def test_what_a_budget_accrued_in_a_quiet_time_is_not_sent_at_its_end() -> None:
+    rig = Rig(replace(SETTINGS, front_ends=200), count=1)
+    worker, usual_gap = rig.router.workers[covered(rig)], 400.0
+    for n in range(10, 30):
+        rig.ask(n)
+        rig.settle(n)
+        rig.wait(usual_gap)
+    rig.router.begin_cold(worker, rig.now)
+    for n, gap, goes in ((100, usual_gap, True), (101, 6 * usual_gap, False)):
+        rig.router.believe(rig.router.functions["f"], worker.entry.worker)
+        rig.wait(gap)
+        worker.budget.left = 1.0  # it has a whole call to send
+        assert bool(sends(rig.ask(n))) == goes
+        rig.settle(n) if goes else None
