--- a/harrieryoke/core/pauses.py
+++ b/harrieryoke/core/pauses.py
@@ -13,13 +13,17 @@
     to call `wake` at least every `interval_ms`. Times are milliseconds of the monotonic clock."""
 
     def __init__(self, now: float, interval_ms: float, log: Log) -> None:
-        self.seen, self.longest_ms, self.log = now, interval_ms + LATE_MS, log
-        self.began = self.settled = now
+        self.longest_ms, self.log = interval_ms + LATE_MS, log
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """What was before is no pause: nobody could ask then."""
+        self.seen = self.began = self.resumed = self.settled = now
 
     def wake(self, now: float) -> None:
         """The process runs."""
         if now - self.seen > self.longest_ms:
-            self.began, self.settled = self.seen, now + SETTLE_MS
+            self.began, self.resumed, self.settled = self.seen, now, now + SETTLE_MS
             self.log("stood-still", f"for up to {now - self.seen:.0f} ms")
         self.seen = now
 
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -97,7 +97,7 @@
         if listening is None:
             listening = wait_for_listener(self.where, BACKLOG, self.limits, self.log, shared)
         self.listening = listening
-        self.pauses.seen = now_ms()  # the start is no pause: nobody could ask before
+        self.pauses.restart(now_ms())
         super().start()
         self.open()
 
@@ -145,18 +145,17 @@
         return any(c.quiet(now) is not None and not c.partial for c in self.clients)
 
     def run(self) -> None:
-        swept = resumed = now_ms()
+        swept = now_ms()
         while not self.over:
             self.wait(self.limits.sweep_ms)
             self.work()
             now = now_ms()
             self.pauses.wake(now)
             if now - swept >= self.limits.sweep_ms:
+                swept = now
                 # after a pause of this process, all idle clients look stale at once, and would be closed with
                 # a request of theirs on its way
-                resumed = resumed if now - swept < 4 * self.limits.sweep_ms else now
-                swept = now
-                for client in [c for c in self.clients if c.stale(now, resumed)]:
+                for client in [c for c in self.clients if c.stale(now, self.pauses.resumed)]:
                     self.log("client-closed", f"{client.client}: it was silent for too long")
                     self.clients[client] = client.close_stale()
                 self.send_away()
