--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -22,7 +22,7 @@
 from .link import HostSocket, Link, Unsent, host_socket
 
 FIRST_OWN_ID = 1 << 63  # of orders and probes; requests bring their ids, and must not meet these on a link
-NOT_DEAD = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH)  # a dead host's machine refuses
+MAY_PASS = (errno.ETIMEDOUT, errno.EHOSTUNREACH)  # told by the kernel; no answer in time has no number
 
 
 class NoRoomForLinkError(Exception):
@@ -354,8 +354,8 @@
         try:
             return self.connect_once()
         except OSError as error:
-            # guards against taking a host that is alive for dead; no answer within the time has no number
-            if error.errno not in NOT_DEAD:
+            # a dead host refuses, it does not reset: one that is alive must not be taken for dead
+            if not isinstance(error, ConnectionResetError) and error.errno not in MAY_PASS:
                 raise
             return self.connect_once()
 
