--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -11,7 +11,7 @@
 from .interface import Drain, Effect, Found, ListScope, Outcome
 from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED, adapt_limit
 from .repeat_rules import may_refuse, may_repeat
-from .slow_start import is_quiet, take_call, warmth_at
+from .slow_start import take_call, warmth_at
 from .state import NEVER, Bucket, Copy, Function, Load, Memory, Request, Worker, count_since, digest
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
@@ -122,11 +122,6 @@
         warmth = self.warmth(w)
         return warmth >= 1 or take_call(w.budget, self.now, warmth, self.calls / self.ups, self.s)
 
-    def spread_budgets(self) -> None:
-        """Guards against a burst after a quiet time, when every front end would hold a whole call."""
-        for w in self.workers.values() if self.now < self.warm_at else ():
-            w.budget = Bucket(self.rng.random(), self.now)
-
     def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
         own = exp2(-8 * (self.now - w.heard) / self.s.keep_alive)
         return self.strain + (w.load.strain - self.strain) * own
@@ -443,8 +438,6 @@
         came = self.count_in(e.taken, self.s.ration_window + self.s.tick)
         gap, self.last_arrival = self.now - self.last_arrival, self.now
         self.stalled += gap if gap > self.s.keep_alive / 8 else 0.0  # a stall must not read as no demand
-        if is_quiet(gap, self.calls, self.s.keep_alive):
-            self.spread_budgets()
         self.calls = 1 + self.calls * exp2(-gap / self.s.keep_alive / 0.69)
         if (f := self.functions.get(e.function)) is None:
             self.later(FORGET * self.s.keep_alive, self.fade, e.function)
--- a/harrieryoke/slow_start.py
+++ b/harrieryoke/slow_start.py
@@ -6,8 +6,6 @@
 from .interface import Settings
 from .state import Bucket
 
-QUIET_GAPS = 3.0  # mean gaps between a front end's calls: a longer one is a quiet time
-
 
 def warmth_at(age: float, settings: Settings) -> float:
     """The part of its full capacity that a worker can bear at this age, from `cold_share` to 1."""
@@ -23,9 +21,3 @@
     from this front end, which is `calls_each` in a keep-alive; in fractions where many share it."""
     rate = warmth * settings.fall_multiple / 2 * calls_each / settings.keep_alive
     return budget.take(now, rate, max(1.0, rate * settings.fall_time / 2))
-
-
-def is_quiet(gap: float, calls: float, keep_alive: float) -> bool:
-    """Whether a gap between calls is so long, against the `calls` of a usual keep-alive, that the front end
-    was idle. What its budgets accrued meanwhile must not be sent: each other front end may have as much."""
-    return gap * calls > QUIET_GAPS * keep_alive
