--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Callable, Iterator
 from itertools import islice
-from math import exp2, log1p, sqrt
+from math import exp2, inf, log1p, sqrt
 from random import Random
 from typing import Any
 
 from . import interface as i
-from .interface import Drain, Effect, Found, Group, ListScope, Outcome
+from .copy_width import widen
+from .interface import Drain, Effect, Found, ListScope, Outcome
+from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED, adapt_limit
+from .repeat_rules import may_refuse, may_repeat
+from .slow_start import take_call, warmth_at
 from .state import NEVER, Bucket, Copy, Function, Load, Memory, Request, Worker, count_since, digest
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
-FIRST_LIMIT, LEAST_LIMIT = 16.0, 3.0  # attempts at a worker, of all front ends: at first, under strain
-STRAINED = 0.6  # share of the aim that answers take when a worker has too much to do
 ORDERS_FIRST, ORDERS_LEAST, ORDERS_MOST = 6.0, 2.0, 12.0  # own orders in progress
 HALF = 0.45  # of a request's time: a refusal that leaves now still comes within its first half
 IDLE_WINDOW = 3.0  # keep-alives without use until renewal stops
@@ -107,20 +109,18 @@
         return f.class_index in w.doubts and w.doubts[f.class_index][0] > self.now
 
     def open(self, wid: int, f: Function) -> bool:
-        return self.usable(self.workers[wid]) and not self.doubted(self.workers[wid], f)
+        return self.usable(w := self.workers[wid]) and not (self.doubted(w, f) or w.hold_off.holds(self.now))
 
     def warmth(self, w: Worker) -> float:
-        grown = (self.now - w.started) / max(self.s.cold_period, self.s.tick)
-        return 1.0 if grown >= 1 else self.s.cold_share + (1 - self.s.cold_share) * max(0.0, grown)
+        return warmth_at(self.now - w.started, self.s)
 
     def has_room(self, w: Worker, r: Request) -> bool:
-        return len(w.flying) < w.load.limit and w.full_until.get(r.event.tenant, NEVER) <= self.now
+        shut = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
+        return len(w.flying) < w.load.limit and not shut
 
     def within_budget(self, w: Worker) -> bool:
-        """Against pushing over any slow start, at the cost of speed where it is quicker than told: a part
-        of the fatal multiple of what a warm one gets from us, in fractions where many share it."""
-        share = self.warmth(w) * self.s.fall_multiple / 2 * self.calls / self.ups / self.s.keep_alive
-        return self.warmth(w) >= 1 or w.budget.take(self.now, share, max(1.0, share * self.s.fall_time / 2))
+        warmth = self.warmth(w)
+        return warmth >= 1 or take_call(w.budget, self.now, warmth, self.calls / self.ups, self.s)
 
     def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
         own = exp2(-8 * (self.now - w.heard) / self.s.keep_alive)
@@ -173,6 +173,7 @@
             return
         w, f, sent = self.attempts[key]
         if self.heard < sent:  # all are quiet: that proves nothing
+            self.unheard_since = min(self.unheard_since, sent)
             return self.later(self.patience(w, f) / 2, self.overdue, key)
         self.doubt(w, f)
         if w.served:
@@ -205,7 +206,12 @@
         return max(4 * f.usual, 2 * self.usual_time(w)) + load
 
     def back(self, w: Worker) -> None:
+        if self.now - self.unheard_since > self.s.keep_alive:  # all may have started anew meanwhile
+            for v in self.workers.values():
+                self.begin_cold(v, self.now)
+        self.unheard_since = inf
         w.heard = self.heard = self.now
+        w.hold_off.end()
         self.zones[w.entry.zone] = 0
         if w.out and w.lost:  # it may have started at any moment until this answer
             self.begin_cold(w, self.now)
@@ -281,7 +287,7 @@
 
     def make_room(self, f: Function, wid: int) -> None:
         """Drops our idle extra copies at a worker that our account shows short of memory for this load."""
-        room = dict(enumerate(self.s.memory_by_kind)).get(self.workers[wid].entry.kind, float("inf"))
+        room = dict(enumerate(self.s.memory_by_kind)).get(self.workers[wid].entry.kind, inf)
         here = [g for g in self.functions.values() if wid in g.copies] if wid not in f.copies else []
         held = f.memory + sum(g.copies[wid].count * g.memory for g in here)
         for g in here:
@@ -309,20 +315,22 @@
         if not (w := self.workers.get(e.worker)):
             return
         w.asked = False
-        if e.outcome is Outcome.RESET and not w.out:
+        if e.outcome is Outcome.NOT_SENT:  # nothing was asked: this tells nothing of the worker
+            w.hold_off.extend(self.now, self.s.connect_timeout)
+            self.later(w.backoff * (0.5 + self.rng.random()), self.ask, w)
+        elif e.outcome is Outcome.RESET and not w.out:
             self.cut_off(w)
         elif e.outcome in (Outcome.NO_CONNECTION, Outcome.TIMEOUT, Outcome.RESET):  # a lost ask: once more
             self.take_out(w, dead=e.outcome is Outcome.NO_CONNECTION)
         else:
             self.back(w)
-        if not (f := self.functions.get(e.function)):
+        if (f := self.functions.get(e.function)) is None:
             return
-        sent, self.touched[f.name] = f.pending.pop(e.worker, None), f
+        sent, self.touched[f.name] = self.unbook_order(f, e.worker, e.outcome is not Outcome.NOT_SENT), f
         if e.copies > 0:
             self.believe(f, e.worker, e.copies)
-        if sent is None:
+        if sent is None or e.outcome is Outcome.NOT_SENT:
             return
-        self.ordering -= 1
         stretch, change = e.took / f.load_time, 0.0
         if e.outcome is not Outcome.OK:
             f.avoid[e.worker], change = self.now + f.load_time, -1.0 if e.outcome is Outcome.ERROR else 0.0
@@ -369,12 +377,7 @@
 
     def may_go(self, r: Request, w: Worker) -> bool:
         """Rule two: what may have run goes out again only as its class allows."""
-        kind = r.kind
-        return kind.effect is Effect.SAFE or not r.ran or (kind.effect is Effect.KEYED and all(
-            self.now - sent < kind.repeat_window - self.s.tick
-            and (kind.group is not Group.ZONE or past.zone == w.entry.zone)
-            and (kind.group is not Group.CELL or past.cell == w.entry.cell)
-            for past, sent in r.ran))  # fmt: skip
+        return may_repeat(r.kind, r.ran, w.entry, self.now, self.s.tick)
 
     def choose(self, f: Function, r: Request) -> int | None:
         """The copy with fewest attempts for its lanes and its worker's pace; a draw stands for the unseen."""
@@ -500,6 +503,8 @@
             self.held += 0.05 * (w.held - self.held)
         if e.outcome is Outcome.NO_CONNECTION:
             self.take_out(w, dead=True)
+        elif e.outcome is Outcome.NOT_SENT:
+            w.hold_off.extend(self.now, self.s.connect_timeout)
         elif e.outcome is Outcome.RESET:
             self.cut_off(w)
         elif e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
@@ -514,7 +519,7 @@
             self.doubt(w, f)
         elif e.outcome is Outcome.FULL and r:  # it may be full for one tenant alone: the others go on
             w.full_until[r.event.tenant] = self.now + f.usual
-            self.widen(f, 1 + self.unseen)
+            widen(f, 1 + self.unseen, len(self.workers))
         elif e.outcome is Outcome.OK:
             sure, w.backoff = wid in f.copies and wid not in f.pending, 0.0
             copy = self.believe(f, wid)
@@ -524,36 +529,23 @@
             copy.others += 0.3 * (crowd - copy.others) if self.s.tells_crowd else 0.0
             if e.found in (Found.BEGAN_LOAD, Found.WAITED) or not (e.found or sure):
                 return  # its time tells of a load
-            self.widen(f, crowd / f.lanes / copy.count if self.s.tells_crowd else e.took / aim / STRAINED)
+            share = crowd / f.lanes / copy.count if self.s.tells_crowd else e.took / aim / STRAINED
+            widen(f, share, len(self.workers))
             w.slow += 0.1 * (min(8.0, e.took / f.usual) - w.slow)
             f.usual += 0.05 * (e.took - f.usual)
         unanswered = e.outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and e.took > aim
         told = e.outcome is Outcome.OK or self.strain_at(w) > STRAINED / 2 or not self.doubted(w, f)
         if told and not (unanswered and self.hung(w, f, sent)) and (e.outcome is Outcome.OK or unanswered):
             # what never came back tells of a crowd too, else many front ends keep each other's queues full
-            self.adapt(w.load, min(3.0, e.took / aim), len(w.flying))
-
-    def adapt(self, load: Load, took: float, flying: int) -> None:
-        """Fewer attempts at a time where answers come near the aim, more where they are quick and wanted."""
-        self.strain += 0.1 * (took - self.strain)
-        load.strain += 0.1 * (took - load.strain)
-        if load.strain > STRAINED:
-            load.limit = max(1.0, LEAST_LIMIT / self.s.front_ends, 0.95 * load.limit)
-        elif flying + 1 > 0.7 * load.limit:
-            load.limit += 0.2
-
-    def widen(self, f: Function, share: float) -> None:
-        """More places for a function whose copies hold more than their lanes, fewer for one that has room."""
-        if share > 1:
-            f.width = min(len(self.workers), max(f.width, len(f.copies)) * min(2.0, share))
-        f.width = max(1.0, f.width * (0.97 if share < 0.5 else 1.0))
+            took = min(3.0, e.took / aim)
+            self.strain += 0.1 * (took - self.strain)
+            adapt_limit(w.load, took, len(w.flying), self.s.front_ends)
 
     def end(self, r: Request) -> None:
         """The final answer of what cannot be served: a refusal where that is lawful, else a failure."""
         if not r.done and not r.flying:
-            free = r.kind.effect is Effect.SAFE or (r.kind.effect, r.kind.group) == (Effect.KEYED, Group.ALL)
             rid, away = r.event.request, self.s.max_retry_after if self.s.tells_retry_after else None
-            self.say(i.Fail(rid) if r.ran and not free else i.Refuse(rid, away or None))
+            self.say(i.Refuse(rid, away or None) if may_refuse(r.kind, r.ran) else i.Fail(rid))
             self.close(r.event)
 
     def close(self, e: i.RequestDropped | i.AttemptEnded | i.RequestArrived) -> None:
