End every played scene in one place, and fold repeats in the shim's C and its tests

Three test files had the block of scenario.run that ends an invoker and looks through its log, two of them new: `ending` and `invoker` in scenario.py serve all. The plays of stops now look for faults of the module too. Two tests of links that break are one table. In the shim `failure` sets errno itself, and clock_gettime has no second name.

--- a/tests/faults/fault_shim.c
+++ b/tests/faults/fault_shim.c
@@ -84,7 +84,7 @@
     return (uint32_t)((z ^ (z >> 31)) >> 32);
 }
 
-/* An errno, SHORT, or 0 where the call goes through. */
+/* An errno, which is then set too, SHORT, or 0 where the call goes through. */
 static int failure(enum call call, int fd)
 {
     if (plan == NULL)
@@ -101,6 +101,8 @@
             continue;
         }
         __atomic_fetch_add(&rule->struck, 1, __ATOMIC_RELAXED);
+        if (rule->failure > 0)
+            errno = rule->failure;
         return rule->failure;
     }
     return 0;
@@ -109,10 +111,7 @@
 /* Whether the call fails; then errno says how. */
 static int fails(enum call call, int fd)
 {
-    int failed = failure(call, fd);
-    if (failed > 0)
-        errno = failed;
-    return failed > 0;
+    return failure(call, fd) > 0;
 }
 
 static size_t shortened(size_t size)
@@ -166,10 +165,8 @@
 ssize_t recv(int fd, void *data, size_t size, int flags)
 {
     int failed = failure(RECV, fd);
-    if (failed > 0) {
-        errno = failed;
+    if (failed > 0)
         return -1;
-    }
     size = failed == SHORT ? shortened(size) : size;
     return syscall(SYS_recvfrom, fd, data, size, flags, NULL, NULL);
 }
@@ -177,10 +174,8 @@
 ssize_t send(int fd, const void *data, size_t size, int flags)
 {
     int failed = failure(SEND, fd);
-    if (failed > 0) {
-        errno = failed;
+    if (failed > 0)
         return -1;
-    }
     size = failed == SHORT ? shortened(size) : size;
     return syscall(SYS_sendto, fd, data, size, flags, NULL, 0);
 }
@@ -217,7 +212,7 @@
 
 /* --- the wall clock --- */
 
-static int read_clock(clockid_t clock, struct timespec *now)
+int clock_gettime(clockid_t clock, struct timespec *now)
 {
     int failed = (int)syscall(SYS_clock_gettime, clock, now);
     if (failed != 0 || plan == NULL || (clock != CLOCK_REALTIME && clock != CLOCK_REALTIME_COARSE))
@@ -228,16 +223,11 @@
     return 0;
 }
 
-int clock_gettime(clockid_t clock, struct timespec *now)
-{
-    return read_clock(clock, now);
-}
-
 int gettimeofday(struct timeval *restrict now, void *restrict zone)
 {
     (void)zone;
     struct timespec read;
-    int failed = read_clock(CLOCK_REALTIME, &read);
+    int failed = clock_gettime(CLOCK_REALTIME, &read);
     now->tv_sec = read.tv_sec;
     now->tv_usec = read.tv_nsec / 1000;
     return failed;
@@ -246,7 +236,7 @@
 time_t time(time_t *now)
 {
     struct timespec read;
-    if (read_clock(CLOCK_REALTIME, &read) != 0)
+    if (clock_gettime(CLOCK_REALTIME, &read) != 0)
         return -1;
     if (now != NULL)
         *now = read.tv_sec;
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,8 +25,10 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from harrieryoke.net import frames
 
@@ -148,6 +150,9 @@
         self.conn = None
 
 
+S = TypeVar("S", bound="Scene")
+
+
 class Scene:
     """One invoker and its parties; plays a scenario's steps in order."""
 
@@ -453,13 +458,27 @@
         return self.log()
 
 
-def run(folder: Path, text: str, seen: dict[str, str] | None = None, **kind: Any) -> str:
-    """Plays one scenario against an invoker of its own; what it logged. `seen` gets the HTTP's bodies."""
-    scene = Scene(folder, **kind)
-    scene.bodies = {} if seen is None else seen
+@contextmanager
+def ending(scene: S) -> Iterator[S]:
+    """The scene's invoker ends with the block, and has logged no failure of its own by then."""
     try:
-        scene.play(text)
+        yield scene
     finally:
         log = scene.end()
     assert "greenlet-died" not in log and "module-fault" not in log, log
-    return log
+
+
+def invoker(folder: Path, *failing: str, **kind: Any) -> AbstractContextManager[Scene]:
+    """A scene whose invoker has come up while these calls failed, and whose further faults the test tells."""
+    shim = FaultShim(folder)
+    for told in failing:
+        shim.tell(["fail", *told.split()])
+    return ending(Scene(folder, shim=shim, **kind))
+
+
+def run(folder: Path, text: str, seen: dict[str, str] | None = None, **kind: Any) -> str:
+    """Plays one scenario against an invoker of its own; what it logged. `seen` gets the HTTP's bodies."""
+    with ending(Scene(folder, **kind)) as scene:
+        scene.bodies = {} if seen is None else seen
+        scene.play(text)
+    return scene.log()
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -7,14 +7,13 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager
 from pathlib import Path
 from socket import AF_INET, AF_UNIX, SOCK_STREAM, create_connection, socket
 
 import pytest
 
-from .scenario import PATIENCE, ROOT, Scene
+from .scenario import PATIENCE, ROOT, Scene, ending
 
 SOCKETS = 64  # the descriptors that a process of these tests may have open
 
@@ -43,14 +42,8 @@
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
 
 
-@contextmanager
-def crossing(folder: Path, hosts: int = 1) -> Iterator[Crossing]:
-    scene = Crossing(folder, hosts=hosts)
-    try:
-        yield scene
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log and "module-fault" not in log, log
+def crossing(folder: Path, hosts: int = 1) -> AbstractContextManager[Crossing]:
+    return ending(Crossing(folder, hosts=hosts))
 
 
 SERVED = """
--- a/tests/test_shutdown_crossings.py
+++ b/tests/test_shutdown_crossings.py
@@ -13,7 +13,7 @@
 from harrieryoke.net.platform import Accepted, Resume, StopListening, Yield
 
 from .clients import BODY, PATIENCE, Connection, Front, line, read, until
-from .scenario import Scene
+from .scenario import Scene, ending
 
 CALL = json.loads(line(1))
 CALL["params"] |= {"acct": "coop-kef", "props": "memory_mb:512;lanes:8;load_ms:500", "blob": ""}
@@ -38,16 +38,12 @@
 
 def play(folder: Path, *steps: str, operator: str = "") -> str:
     """Plays a scenario, with a wait for the closed listening socket between its parts."""
-    scene = Scene(folder, operator=operator)
-    try:
+    with ending(Scene(folder, operator=operator)) as scene:
         scene.play(steps[0])
         for step in steps[1:]:
             until_refused(scene)
             scene.play(step)
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log, log
-    return log
+    return scene.log()
 
 
 def test_half_line_at_sigterm_is_waited_for_and_answered(tmp_path: Path) -> None:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -4,34 +4,17 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
-from typing import Any
 
 import pytest
 
 from .faults.shim import BadPlanError, FaultShim
-from .scenario import Scene
+from .scenario import Scene, invoker
 
 MOMENT_S = 0.15  # how long calls fail, well under the time of a request
 SHORT_WINDOW_MS = 5  # of a keyed class: nothing that may have run goes out again
 
 
-@contextmanager
-def invoker(folder: Path, *failing: str, **kind: Any) -> Iterator[Scene]:
-    """An invoker that has come up while these calls failed, and whose further faults the test tells."""
-    shim = FaultShim(folder)
-    for told in failing:
-        shim.tell(["fail", *told.split()])
-    scene = Scene(folder, shim=shim, **kind)
-    try:
-        yield scene
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log and "module-fault" not in log, log
-
-
 def served(number: int, client: str = "c1") -> str:
     """A request that goes to a host at once: one without a copy, or out, would get another frame first."""
     return f"""
@@ -141,37 +124,32 @@
         )
 
 
-@pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH"])
-def test_a_request_whose_link_breaks_before_its_first_byte_goes_out_again(error: str, tmp_path: Path) -> None:
-    """Also where what may have run may not be repeated: it has never run."""
-    with invoker(tmp_path, window=SHORT_WINDOW_MS) as scene:
-        scene.play(
-            f"""
-            {served(1)}
-            send calls fail send {error} peer=dialled times=1
-            send c1 call 2 harvest-log token=t body=once
-            expect h1 end
-            expect h1 request body=once
-            send h1 ok n=w body=x
-            expect c1 2 result x
-            """
-        )
+LINK_BREAKS = {
+    "before its first byte: it has never run and goes out again": """
+        send calls fail send ERROR peer=dialled times=1
+        send c1 call 2 harvest-log token=t body=once
+        expect h1 end
+        expect h1 request body=once
+        send h1 ok n=w body=x
+        expect c1 2 result x
+    """,
+    "after it went out: it may have run and ends as failed": """
+        send c1 call 2 harvest-log token=t body=once
+        expect h1 request body=once
+        send calls fail recv ERROR peer=dialled times=1
+        send h1 ok n=w body=x
+        expect c1 2 error -32000
+    """,
+}
 
 
 @pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH"])
-def test_a_request_whose_link_breaks_after_it_went_out_may_have_run(error: str, tmp_path: Path) -> None:
-    """Where that may not be repeated it ends as failed."""
+@pytest.mark.parametrize("case", LINK_BREAKS)
+def test_a_request_that_may_not_be_repeated_and_whose_link_breaks(
+    case: str, error: str, tmp_path: Path
+) -> None:
     with invoker(tmp_path, window=SHORT_WINDOW_MS) as scene:
-        scene.play(
-            f"""
-            {served(1)}
-            send c1 call 2 harvest-log token=t body=once
-            expect h1 request body=once
-            send calls fail recv {error} peer=dialled times=1
-            send h1 ok n=w body=x
-            expect c1 2 error -32000
-            """
-        )
+        scene.play(served(1) + LINK_BREAKS[case].replace("ERROR", error))
 
 
 def test_a_client_whose_connection_the_kernel_gave_up_has_gone(tmp_path: Path) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -4,8 +4,6 @@
 
 import copy
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -15,8 +13,8 @@
 from harrieryoke.core.clock import NOTICEABLE_STEP_MS, WallClockWatch
 from harrieryoke.net import frames
 
-from .faults.shim import FaultShim, NoCompilerError, build_shim
-from .scenario import SETTINGS, Scene
+from .faults.shim import NoCompilerError, build_shim
+from .scenario import SETTINGS, invoker
 
 HOUR_MS = 3_600_000.0
 STEPS = {
@@ -103,17 +101,6 @@
 }
 
 
-@contextmanager
-def invoker(folder: Path, **kind: Any) -> Iterator[Scene]:
-    """An invoker whose wall clock the step `send clock MS` sets."""
-    scene = Scene(folder, shim=FaultShim(folder), **kind)
-    try:
-        yield scene
-    finally:
-        log = scene.end()
-    assert "greenlet-died" not in log and "module-fault" not in log, log
-
-
 @pytest.mark.parametrize("step", STEPS)
 @pytest.mark.parametrize("case", WINDOWS)
 def test_windows_are_of_real_time(case: str, step: str, tmp_path: Path) -> None:
