Let a stranger be turned away before it speaks in the test of the upgrade socket

The test failed once in two runs of the whole suite side by side under load, with EPIPE in its own send: a stranger beyond the bound of four links is closed at once, as designed, and the test may come to its send only after that. What it asserts is unchanged.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,6 +9,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
@@ -201,7 +202,8 @@
         strangers.append(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
         with short_socket_path(path) as name:
             strangers[-1].connect(name)
-        strangers[-1].sendall(b"what is here?\n" if n % 2 else b"")
+        with suppress(BrokenPipeError):  # it may be turned away before it says anything
+            strangers[-1].sendall(b"what is here?\n" if n % 2 else b"")
     gevent.sleep(0.3)
     holding = [s for s in strangers if not readable(s)]
     assert len(holding) <= 4
