Let new work go to model hosts only on a lease, which discovery or the host renews

Cause: BusFollower.lost() logged and connected anew, and nobody else heard of it; the module held an entry of the list until the next event.

Now heartbeats that name our last number confirm the list as of the time they were written at the earliest (net/heartbeats.py), and an answer that a call ran confirms its host. 7 s after that, when a drain would count as told, the lease is over (work_lease.py): a host that is wanted is probed first, on demand, so that no fleet asks all hosts at once, and gets new work once it calls itself healthy. Each send carries the lease's end, which is looked at directly before its first byte. Hosts whose last entry could not be read are confirmed by nothing but their answers. While discovery answers, and in the simulator, nothing changes.

The part of brain.py on workers moved to worker_health.py as it was.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -2,27 +2,26 @@
 
 from collections.abc import Callable, Iterator
 from itertools import islice
-from math import exp2, inf, log1p, sqrt
+from math import exp2, inf, log1p
 from random import Random
 from typing import Any
 
 from . import interface as i
 from .copy_width import widen
-from .interface import Drain, Effect, Found, ListScope, Outcome
-from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED, adapt_limit
+from .interface import Found, Outcome
+from .load_limit import STRAINED, adapt_limit
 from .repeat_rules import may_refuse, may_repeat
-from .slow_start import take_call, warmth_at
-from .state import NEVER, Bucket, Copy, Function, Load, Memory, Request, Worker, count_since, digest
+from .state import NEVER, Bucket, Copy, Function, Request, Worker, count_since, digest
+from .worker_health import WorkerHealth
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
 ORDERS_FIRST, ORDERS_LEAST, ORDERS_MOST = 6.0, 2.0, 12.0  # own orders in progress
 HALF = 0.45  # of a request's time: a refusal that leaves now still comes within its first half
 IDLE_WINDOW = 3.0  # keep-alives without use until renewal stops
-DARK = 3  # workers out and nothing heard of their zone between: one or two may have failed by themselves
 FORGET = 8.0  # keep-alives without use until a function is forgotten
 
 
-class Router(Memory):
+class Router(WorkerHealth):
     """The decisions of one front end: `handle` takes what came in and returns what to do."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
@@ -34,8 +33,9 @@
         if settings.list_on_request:
             self.later(0.0, self.say, i.FollowList())
         self.handlers: dict[type, Callable[[Any], None]] = {
-            i.WorkersListed: self.listed, i.RequestArrived: self.arrive, i.RequestDropped: self.close,
-            i.AttemptEnded: self.attempt_ended, i.OrderEnded: self.order_ended,
+            i.WorkersListed: self.listed, i.ListConfirmed: self.confirmed, i.RequestArrived: self.arrive,
+            i.RequestDropped: self.close, i.AttemptEnded: self.attempt_ended,
+            i.OrderEnded: self.order_ended, i.ProbeEnded: self.probe_ended,
             i.WarmWished: lambda e: self.wishes.append(e.function), i.Retuned: self.retune}  # fmt: skip
 
     def retune(self, e: i.Retuned) -> None:
@@ -49,6 +49,7 @@
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         self.now, self.out, self.touched = now, [], {}
+        self.list_current = self.list_age.is_current(now, self.s)
         for event in events:
             self.handlers.get(type(event), bool)(event)
         self.run_agenda()
@@ -59,165 +60,6 @@
         self.set_timer()
         return self.out
 
-    # --- view of workers and health ---
-
-    def listed(self, event: i.WorkersListed) -> None:
-        if event.scope is ListScope.FAILED:
-            return self.later(self.s.list_ask_within / 4, self.say, i.FollowList())
-        if event.scope is not ListScope.CHANGES:
-            self.mark_gone(e.worker for e in event.workers)
-        for e in event.workers:
-            started = NEVER if e.started is None else e.started
-            first = Load(STRAINED / 2, max(2.0, FIRST_LIMIT / self.s.front_ends))
-            w = self.workers.setdefault(e.worker, Worker(e, NEVER, digest(str(e.worker)), first))
-            if started > w.started and not w.knows_start(e):
-                self.back(w)
-                self.begin_cold(w, started)
-                w.slow, w.load, w.backoff = 1.0, first, 0.0
-            w.entry, w.up = e, e.drain is Drain.UP
-            self.zones[e.zone] = 0  # news of a zone: it is worth a call again
-        self.ups = max(self.ups, sum(w.up for w in self.workers.values()))
-        for w in self.workers.values():
-            if w.entry.drain is Drain.GONE and not w.leaving:
-                w.leaving = True
-                self.later(self.s.keep_alive, self.part_with, w)
-
-    def part_with(self, w: Worker) -> None:
-        """Forgets a worker that has gone, once nothing is out there: hosts come back under ever new ids."""
-        wid = w.entry.worker
-        w.leaving = w.entry.drain is Drain.GONE
-        if w.leaving and (w.flying or any(wid in f.pending for f in self.functions.values())):
-            self.later(self.s.keep_alive, self.part_with, w)
-        elif w.leaving:
-            self.strike(wid)
-
-    def begin_cold(self, w: Worker, started: float) -> None:
-        """It has started anew: its copies are gone; its budget begins spread over the front ends."""
-        w.started, w.budget, w.doubts = started, Bucket(self.rng.random(), self.now), {}
-        self.warm_at = max(self.warm_at, w.started + self.s.cold_period)
-        self.forget(w)
-
-    def usable(self, w: Worker) -> bool:
-        """Listed, not out, not in the dark. If most are out for silence, our own sight is in doubt."""
-        return w.up and (not self.dark(w) if not w.out else not w.dead and 2 * self.outs > len(self.workers))
-
-    def dark(self, w: Worker) -> bool:
-        """Guards against learning of a lost zone by a call for each of its workers, where another answers."""
-        return self.zones.get(w.entry.zone, 0) >= DARK > min(self.zones.values())
-
-    def doubted(self, w: Worker, f: Function) -> bool:
-        return f.class_index in w.doubts and w.doubts[f.class_index][0] > self.now
-
-    def open(self, wid: int, f: Function) -> bool:
-        return self.usable(w := self.workers[wid]) and not (self.doubted(w, f) or w.hold_off.holds(self.now))
-
-    def warmth(self, w: Worker) -> float:
-        return warmth_at(self.now - w.started, self.s)
-
-    def has_room(self, w: Worker, r: Request) -> bool:
-        shut = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
-        return len(w.flying) < w.load.limit and not shut
-
-    def within_budget(self, w: Worker) -> bool:
-        warmth = self.warmth(w)
-        return warmth >= 1 or take_call(w.budget, self.now, warmth, self.calls / self.ups, self.s)
-
-    def strain_at(self, w: Worker) -> float:  # what is long unheard of is taken to be as the others
-        own = exp2(-8 * (self.now - w.heard) / self.s.keep_alive)
-        return self.strain + (w.load.strain - self.strain) * own
-
-    def held_at(self, w: Worker) -> float:  # as last reported; what is long untold is as the others
-        return self.held + (w.held - self.held) * exp2(-2 * (self.now - w.told) / self.s.keep_alive)
-
-    def jammed(self, w: Worker) -> bool:
-        """Answers take long there, or it holds clearly more than others do: copies elsewhere serve better."""
-        return self.strain_at(w) >= STRAINED or self.held_at(w) > 1.5 * self.held + 1
-
-    def usual_time(self, w: Worker) -> float:
-        return max(self.strain_at(w), STRAINED / 4) * self.shortest_aim
-
-    def slowness(self, w: Worker, usual: float) -> float:
-        """Answers' time against the usual; fades while nothing is heard, grows with unanswered silence."""
-        faded = 1 + (w.slow - 1) * exp2(-4 * max(0.0, self.now - w.heard) / self.s.keep_alive)
-        silence = self.now - max(w.heard, next(iter(w.flying.values()))) if w.flying else 0.0
-        return max(faded / sqrt(self.warmth(w)), silence / usual)
-
-    def take_out(self, w: Worker, dead: bool) -> None:
-        """Out until an ask is answered, each time for longer; a dead one will have started anew: cold."""
-        first, self.outs, w.lost = not w.backoff, self.outs + (not w.out), dead or w.out
-        self.zones[w.entry.zone] += not w.out
-        w.backoff = min(max(2 * w.backoff, self.s.connect_timeout), self.s.keep_alive)
-        w.out, w.asked, w.dead, least = True, False, dead, max(1.0, LEAST_LIMIT / self.s.front_ends)
-        w.load.limit = least if dead else max(least, w.load.limit / 2)  # silence proves no overload
-        if dead:
-            self.begin_cold(w, self.now)
-        pause = 0.0 if first and not dead and self.s.may_order else w.backoff * (0.5 + self.rng.random())
-        self.later(pause, self.ask if self.s.may_order else self.back, w)
-
-    def cut_off(self, w: Worker) -> None:
-        """A connection broke off: no proof of a restart, nor of load. Out only if nothing came since the
-        last break. Guards against storms of resets, which took workers out one after the other."""
-        again = self.now - w.cut > self.s.connect_timeout  # what was open on the connection ends together
-        if again and w.heard < w.cut and not w.out:
-            self.take_out(w, dead=False)
-        w.cut = self.now if again else w.cut
-
-    def ask(self, w: Worker) -> None:
-        if w.out and not w.asked and not w.leaving:
-            w.asked, ask = w.up, i.OrderCopies(w.entry.worker, next(iter(self.functions)), 0)
-            self.say(ask) if w.up else self.later(w.backoff, self.ask, w)
-
-    def overdue(self, key: tuple[int, int]) -> None:
-        """Overdue: its class is doubted there until one is answered, a worker quiet since is asked."""
-        if key not in self.attempts:
-            return
-        w, f, sent = self.attempts[key]
-        if self.heard < sent:  # all are quiet: that proves nothing
-            self.unheard_since = min(self.unheard_since, sent)
-            return self.later(self.patience(w, f) / 2, self.overdue, key)
-        self.doubt(w, f)
-        if w.served:
-            w.silent.add(f.class_index)
-        if w.heard <= sent and not w.out:
-            self.take_out(w, dead=False)  # what is out there stays until the ask, too, has no answer
-            return self.later(self.s.connect_timeout, self.overdue, key)
-        r = self.requests.get(key[0])
-        if r and r.kind.effect is Effect.SAFE and r.attempts < r.most and (w.out or self.hung(w, f, sent)):
-            self.cancel(*key)
-
-    def hung(self, w: Worker, f: Function, sent: float) -> bool:
-        """It has served another class since, and none of this one: no lack of room, the class hangs."""
-        return w.served.get(f.class_index, NEVER) <= sent < max(w.served.values(), default=NEVER)
-
-    def on_trial(self, w: Worker, f: Function) -> bool:
-        """After silence one attempt of the class at a time, until an answer clears it."""
-        return f.class_index in w.silent and any(
-            sent >= w.started and self.attempts[key][1].class_index == f.class_index
-            for key, sent in w.flying.items())  # fmt: skip
-
-    def doubt(self, w: Worker, f: Function) -> None:
-        until, pause = w.doubts.get(f.class_index, (NEVER, self.s.keep_alive / 8))
-        if until <= self.now:
-            pause = min(2 * pause, 2 * self.s.keep_alive)
-            w.doubts[f.class_index] = (self.now + pause * (0.5 + self.rng.random()), pause)
-
-    def patience(self, w: Worker, f: Function) -> float:
-        load = 0.0 if w.entry.worker in f.copies else 2 * f.load_time * self.stretch  # it may wait for one
-        return max(4 * f.usual, 2 * self.usual_time(w)) + load
-
-    def back(self, w: Worker) -> None:
-        if self.now - self.unheard_since > self.s.keep_alive:  # all may have started anew meanwhile
-            for v in self.workers.values():
-                self.begin_cold(v, self.now)
-        self.unheard_since = inf
-        w.heard = self.heard = self.now
-        w.hold_off.end()
-        self.zones[w.entry.zone] = 0
-        if w.out and w.lost:  # it may have started at any moment until this answer
-            self.begin_cold(w, self.now)
-        if w.out:
-            w.out, w.slow, w.dead, self.outs = False, 1.0, False, self.outs - 1
-
     # --- copy table ---
 
     def order_for(self, f: Function) -> list[int]:
@@ -256,10 +98,10 @@
             unused = self.now - copy.seen > keep * max(1, ours / 4) and not f.mine.get(wid)
             if unused and wid not in f.pending:
                 del f.copies[wid]
-        for n, (wid, _, copy) in enumerate(list(self.believed(f))):
+        for n, (wid, w, copy) in enumerate(list(self.believed(f))):
             age = self.now - copy.seen
             if n == 0 and age > 0.7 * keep and self.now - self.stalled - f.used < IDLE_WINDOW * keep:
-                if age < keep and (f.alone or self.rng.random() * ours < 1):
+                if age < keep and (f.alone or self.rng.random() * ours < 1) and self.ensure_lease(w):
                     self.order(f, wid, 0.5)
             elif n and self.s.idle_price and age > keep * ours / 6 and not f.mine.get(wid):
                 self.drop(f, wid)
@@ -282,7 +124,7 @@
             return False
         self.make_room(f, wid)
         self.book_order(f, wid)
-        self.say(i.OrderCopies(wid, f.name, 1))
+        self.say(i.OrderCopies(wid, f.name, 1, self.lease_end(self.workers[wid])))
         return True
 
     def make_room(self, f: Function, wid: int) -> None:
@@ -309,7 +151,9 @@
         free = (wid for wid in order if wid not in f.copies and wid not in f.pending)
         if f.copies and self.unseen:  # others may have put one there: a request tries the place first
             free = (wid for wid in free if f.missed.get(wid, NEVER) > self.now)
-        return next((wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f)), None)
+        free = (wid for wid in free if f.avoid.get(wid, NEVER) <= self.now and self.open(wid, f))
+        wid = next(free, None)
+        return wid if wid is not None and self.ensure_lease(self.workers[wid]) else None
 
     def order_ended(self, e: i.OrderEnded) -> None:
         if not (w := self.workers.get(e.worker)):
@@ -396,7 +240,9 @@
             cost = busy * self.slowness(w, usual) * (1 + queue) * (r.event.bias or {}).get(wid, 1.0)
             if not self.on_trial(w, f):
                 costs.append((self.doubted(w, f), cost, wid))
-        return next((wid for *_, wid in sorted(costs) if self.within_budget(self.workers[wid])), None)
+        ranked = (self.workers[wid] for *_, wid in sorted(costs))
+        chosen = (w for w in ranked if self.ensure_lease(w) and self.within_budget(w))
+        return next((w.entry.worker for w in chosen), None)
 
     def candidates(self, f: Function, r: Request) -> Iterator[tuple[int, Worker, Copy]]:
         """Believed copies, and the first places of the order where others put theirs, by its width."""
@@ -416,7 +262,7 @@
             if not idle and (wid := self.choose(f, r)) is not None:
                 w = self.workers[wid]
                 self.later(self.patience(w, f), self.overdue, self.book(r, f, w))
-                self.say(i.StartAttempt(r.event.request, wid))
+                self.say(i.StartAttempt(r.event.request, wid, start_by=self.lease_end(w)))
             else:
                 kept.append(r)
                 stuck += [] if r.ran else [r.event.tenant]
@@ -513,6 +359,8 @@
             w.silent.discard(f.class_index)
         if e.outcome is Outcome.MISS or e.load_failed:
             old = f.copies.pop(wid, None)
+            if old is not None and self.now - old.seen < self.s.keep_alive:
+                w.shaken = self.now
             f.alone = f.alone or (old is not None and self.now - old.seen > self.s.keep_alive)
             f.missed[wid] = self.now + self.s.keep_alive / 4
         elif e.outcome is Outcome.ERROR:
@@ -522,6 +370,7 @@
             widen(f, 1 + self.unseen, len(self.workers))
         elif e.outcome is Outcome.OK:
             sure, w.backoff = wid in f.copies and wid not in f.pending, 0.0
+            w.lease.renew(sent)
             copy = self.believe(f, wid)
             w.doubts.pop(f.class_index, None)
             w.served[f.class_index] = self.now
@@ -555,7 +404,3 @@
                 self.count_out(r.arrived)
             for attempt in r.flying:
                 self.cancel(e.request, attempt)
-
-    def cancel(self, rid: int, attempt: int) -> None:
-        if self.s.may_cancel:
-            self.say(i.CancelAttempt(rid, attempt))
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -12,6 +12,7 @@
 
 from . import interface as i
 from .checks import ConfigError, read_address
+from .core.clock import now_ms
 from .limits import Limits
 from .net.hostlist_model import Known
 from .parts import Operator
@@ -62,6 +63,7 @@
     operator: Operator | None
     folder: Path | None  # what outlives the process in an upgrade is here
     told: dict[str, Any]  # the whole file, without the events up to the start
+    read_at: float  # on the clock of the process, in milliseconds; `known` is no newer
 
 
 def read_ceilings(wire: Mapping[str, Any]) -> dict[str, Any]:
@@ -125,6 +127,7 @@
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
+    read_at = now_ms()
     try:
         whole = msgspec.json.decode(read_whole(Path(path)))
         told = msgspec.convert(whole, PlatformFile)
@@ -154,4 +157,5 @@
         operator=operator,
         folder=Path(env["TMPDIR"]) if management and env.get("TMPDIR") else None,
         told={key: value for key, value in whole.items() if key != "known"},
+        read_at=read_at,
     )
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -20,6 +20,7 @@
     Attempt,
     Call,
     Check,
+    Confirmed,
     Counted,
     Door,
     Front,
@@ -60,6 +61,8 @@
         self.table = RequestTable(settings, limits, self.figures, log)
         self.wall_clock = WallClockWatch()
         self.hosts_out = 0  # as last logged
+        self.list_current = True  # as last logged
+        self.list_confirmed: i.ListConfirmed | None = None  # the last one
         self.ports: dict[int, HostPort] = {}
         self.names: dict[int, str] = {}  # of the hosts that have a port
         self.entries: dict[int, i.WorkerEntry] = {}
@@ -74,6 +77,7 @@
             Withdrawn: self.withdrawn,
             TaskEnded: self.task_ended,
             Listed: self.listed,
+            Confirmed: self.confirmed,
             Stopping: self.stopping,
             Counted: self.counted,
             Wished: self.wished,
@@ -158,17 +162,28 @@
             self.log_state()
 
     def log_state(self) -> None:
-        """Log what changed by itself: the wall clock, and how many model hosts the router leaves out."""
+        """Log what changed by itself: the wall clock, whether the worker list is current, and how many model
+        hosts the router leaves out."""
         if step := self.wall_clock.read_step():
             self.log(
                 "clock-stepped",
                 f"the wall clock was set {'ahead' if step > 0 else 'back'} by {abs(step):.0f} ms",
             )
+        if self.router.list_current != self.list_current:
+            self.list_current = self.router.list_current
+            self.log("list-current" if self.list_current else "list-unconfirmed", self.list_state())
         if self.router.outs != self.hosts_out:
             self.hosts_out = self.router.outs
             out = sorted(self.host_name(number) for number, w in self.router.workers.items() if w.out)
             self.log("hosts-out", f"{len(out)} of {len(self.router.workers)}: {', '.join(out) or 'none'}")
 
+    def list_state(self) -> str:
+        """Say for the log how old the worker list is, and what that means for model hosts."""
+        age = self.router.list_age
+        since = "" if age.confirmed is None else f"confirmed {self.clock() - age.confirmed:.0f} ms ago"
+        doubtful = ", ".join(sorted(map(self.host_name, age.doubtful)))
+        return f"{since}; unreadable last entries: {doubtful or 'none'}"
+
     def host_name(self, worker: int) -> str:
         """Return a model host's name for the log; its number where it has left the list."""
         return self.names.get(worker, str(worker))
@@ -236,8 +251,9 @@
         self.seed += 1
         self.router, self.timers = Router(self.settings, self.seed), []
         self.orders_from = now + self.settings.ration_window  # the fresh one does not know of earlier orders
-        listed = i.WorkersListed(i.ListScope.REMEMBERED, tuple(self.entries.values()))
-        for action in self.router.handle(now, [listed]):
+        known: list[i.Event] = [i.WorkersListed(i.ListScope.REMEMBERED, tuple(self.entries.values()))]
+        known += [] if self.list_confirmed is None else [self.list_confirmed]
+        for action in self.router.handle(now, known):
             self.doers[type(action)](action, now)
 
     # --- messages into events ---
@@ -264,6 +280,10 @@
             self.gate.listed(m)
         return m.event
 
+    def confirmed(self, m: Confirmed, now: float) -> i.Event | None:
+        self.list_confirmed = m.event
+        return m.event
+
     def wished(self, m: Wished, now: float) -> i.Event | None:
         return i.WarmWished(m.function)
 
@@ -300,6 +320,8 @@
                 self.table.waited_for(task.function)
             return i.OrderEnded(task.worker, task.function, m.outcome, m.copies, took)
         if not isinstance(task, Attempt):
+            if m.outcome is not i.Outcome.OK:
+                self.log("probe", f"{self.host_name(task.worker)} takes no new work: {m.outcome.value}")
             return i.ProbeEnded(task.worker, m.outcome, took, m.report)
         entry = self.table.entries.get(task.request)
         if entry is not None and (m.outcome is i.Outcome.MISS or m.found in LOADED):
@@ -332,6 +354,7 @@
     def start_attempt(self, a: i.StartAttempt, now: float) -> None:
         if entry := self.table.entries.get(a.request):
             attempt = self.table.attempt(entry, a.worker, a.stop_at or entry.due, now)
+            attempt.start_by = min(attempt.start_by, a.start_by)
             if attempt.number:
                 self.log(
                     "retry", f"{entry.call.rid} at {self.host_name(a.worker)}: {self.progress(entry, now)}"
@@ -362,7 +385,14 @@
         )
 
     def order_copies(self, a: i.OrderCopies, now: float) -> None:
-        order = Order(a.worker, now + self.settings.order_timeout, now, function=a.function, copies=a.copies)
+        order = Order(
+            a.worker,
+            now + self.settings.order_timeout,
+            now,
+            start_by=a.start_by,
+            function=a.function,
+            copies=a.copies,
+        )
         spare = not self.leading and all(e.call.function != a.function for e in self.table.entries.values())
         if a.copies and (now < self.orders_from or spare):
             self.echo(TaskEnded(order, i.Outcome.FULL), now)
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from ..brain import Router
-from ..interface import Found, LoadReport, Outcome, Settings, WorkersListed
+from ..interface import Found, ListConfirmed, LoadReport, Outcome, Settings, WorkersListed
 
 
 @dataclass(slots=True, eq=False)
@@ -152,6 +152,13 @@
     names: Mapping[int, HostName] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """Discovery has confirmed the worker list as it was last told."""
+
+    event: ListConfirmed
+
+
 @dataclass(frozen=True, slots=True)
 class HostName:
     """A model host in the operators' words."""
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 
 class Effect(Enum):
@@ -118,6 +119,7 @@
     max_retry_after: float = 0.0
     list_on_request: bool = False
     list_ask_within: float = 0.0
+    told_within: float = 7000.0  # what discovery tells counts as told after this, whether it came or not
     connect_timeout: float = 250.0
     answer_slack: float = 0.0
     cold_period: float = 0.0
@@ -191,6 +193,15 @@
     workers: tuple[WorkerEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListConfirmed:
+    """Discovery has shown that nothing it told before `at` is missing from the list. The last entries of the
+    `doubtful` workers could not be read."""
+
+    at: float
+    doubtful: frozenset[int] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A client asks for one run of a function; exactly one final answer is owed before `due`."""
@@ -294,6 +305,7 @@
 
 Event = (
     WorkersListed
+    | ListConfirmed
     | RequestArrived
     | AnswerBegan
     | AttemptEnded
@@ -309,11 +321,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the request to the worker; attempts are numbered from 0 in this order."""
+    """Send the request to the worker; attempts are numbered from 0 in this order. It is not sent if it has not
+    begun to be written by `start_by`."""
 
     request: int
     worker: int
     stop_at: float | None = None
+    start_by: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -341,11 +355,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderCopies:
-    """Have the worker hold at least so many copies; 0 only asks."""
+    """Have the worker hold at least so many copies; 0 only asks. Not begun by `start_by`, it is not sent."""
 
     worker: int
     function: str
     copies: int
+    start_by: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/harrieryoke/net/bus_follower.py
+++ b/harrieryoke/net/bus_follower.py
@@ -13,7 +13,16 @@
 from ..core.clock import now_ms
 from ..limits import Limits
 from ..log import Log
-from .hostlist_model import BusSaid, ListReplaced, ListUpdate, Snapshot, decode_line, read_update
+from .heartbeats import Heartbeats
+from .hostlist_model import (
+    BusConfirmed,
+    BusSaid,
+    ListReplaced,
+    ListUpdate,
+    Snapshot,
+    decode_line,
+    read_update,
+)
 
 RECV_BYTES = 65536
 LONGEST_LINE = 64  # times `Limits.line_bytes`
@@ -94,11 +103,13 @@
         last: int,
         limits: Limits,
         log: Log,
-        tell: Callable[[BusSaid | ListReplaced], Any],
+        tell: Callable[[BusSaid | ListReplaced | BusConfirmed], Any],
     ) -> None:
         super().__init__("event bus", limits.list_mailbox, log, reserve=limits.list_mailbox // 4)
         self.where, self.last, self.limits, self.tell_list = where, last, limits, tell
         self.connection = 0
+        self.heartbeats = Heartbeats(now_ms())
+        self.incomplete = False  # a line that could not be read was left out, and no whole list came since
         self.reader: gevent.Greenlet | None = None
         self.pause = limits.bus_backoff_ms
         self.steady_at = (
@@ -122,6 +133,7 @@
         if self.reader is not None:
             self.reader.kill(block=False)
         self.connection += 1
+        self.heartbeats = Heartbeats(now_ms() + pause)
         self.steady_at = now_ms() + pause + self.limits.bus_quiet_ms
         self.behind_since = None
         if self.snapshot is not None:
@@ -193,7 +205,7 @@
                 self.unreadable = self.last  # it may have been spoilt on its way: asked for once more
                 raise
             # asked for again and again, it would keep all events behind it from being heard
-            self.skipped = self.last
+            self.skipped, self.incomplete = self.last, True
             return self.log("bad-event", f"after event {self.last}, and again: {error}: {line[:200]!r}")
         if isinstance(said, int):
             self.number(said)
@@ -212,19 +224,24 @@
             update = read_update(said)
             return self.snapshot.take(update) if update is not None else None
         self.pause = self.limits.bus_backoff_ms
+        if said.event.topology is not None and said.event.topology.full:
+            self.incomplete = False
         self.tell_list(said)
 
     def number(self, number: int) -> None:
         """The heartbeat: the number of the bus's last event."""
+        written = self.heartbeats.take(now_ms())
         if number > self.last:
             if self.skipped != self.last:
                 raise ValueError(f"the bus is at {number}, and its events have not come")
             self.last = number
         if self.snapshot is not None and number > 0:
             self.last = number  # also where an event came under a higher offset: the bus's own number counts
-            return self.finish_snapshot(self.snapshot.update(number))
+            self.finish_snapshot(self.snapshot.update(number))
+            return self.confirm(written)
         if number >= self.last:
             self.behind_since = None
+            self.confirm(written)
         elif self.behind_since is None:
             self.behind_since = now_ms()
         elif now_ms() - self.behind_since > self.limits.bus_anew_ms:
@@ -234,8 +251,15 @@
             self.snapshot = Snapshot()
             self.connect(0.0)
 
+    def confirm(self, written: float) -> None:
+        """All that the bus had told when it wrote a heartbeat has come."""
+        if not self.incomplete:
+            self.tell_list(BusConfirmed(written))
+        if self.heartbeats.lags(now_ms(), self.limits.bus_lag_ms):
+            self.connect(0.0)
+
     def finish_snapshot(self, update: ListUpdate) -> None:
         """All events of a bus that numbers anew are there."""
-        self.snapshot = None
+        self.snapshot, self.incomplete = None, False
         self.log("bus-anew", f"{len(update.servers)} model hosts as of event {update.offset}")
         self.tell_list(ListReplaced(update))
--- /dev/null
+++ b/harrieryoke/net/heartbeats.py
@@ -0,0 +1,27 @@
+"""How old the news is that a heartbeat of the event bus brings.
+
+A heartbeat tells what the bus knew when it was written, which may be long before it is read: a slow link or a
+process that stood still hands over many at once. It can't have been written before the connection began, nor
+sooner than an interval after the one before, so that is what it is trusted for.
+"""
+
+from __future__ import annotations
+
+INTERVAL_MS = 1000.0  # between two heartbeats, by the protocol
+
+
+class Heartbeats:
+    """Those of one connection, which began to be made at `begun`. Times are milliseconds of one clock."""
+
+    def __init__(self, begun: float) -> None:
+        self.begun, self.written = begun, begun - INTERVAL_MS
+
+    def take(self, now: float) -> float:
+        """One more has been read: return the time before which it was not written."""
+        self.written = min(now, self.written + INTERVAL_MS)
+        return self.written
+
+    def lags(self, now: float, most: float) -> bool:
+        """Whether heartbeats that come more rarely than expected have made the bound older than `most`. A lag
+        that a young connection has comes from its link, and another connection would have it too."""
+        return now - self.written > most and now - self.begun > 10 * most
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from gevent.event import AsyncResult
@@ -10,7 +10,7 @@
 from .. import interface as i
 from ..core.actor import Actor, spawn
 from ..core.metrics import Metrics
-from ..core.records import HostName, HostPort, Listed, TaskEnded
+from ..core.records import Confirmed, HostName, HostPort, Listed, TaskEnded
 from ..limits import Limits
 from ..log import Log
 from .bus_follower import BusFollower
@@ -19,6 +19,7 @@
 from .hostlist_model import (
     DRAINS,
     BadServerError,
+    BusConfirmed,
     BusEvent,
     BusSaid,
     Known,
@@ -93,7 +94,7 @@
         settings: i.Settings,
         limits: Limits,
         log: Log,
-        tell_module: Callable[[Listed], object],
+        tell_module: Callable[[Listed | Confirmed], object],
         report: Callable[[TaskEnded], object],
         figures: Metrics,
     ) -> None:
@@ -103,28 +104,34 @@
         self.figures = figures
         self.hosts: dict[str, tuple[Standing, HostActor]] = {}
         self.servers: dict[str, Server] = {}  # the list's last word on each, the latest last
+        self.doubtful: set[str] = set()  # listed hosts whose last entry could not be read
+        self.unnamed = False  # an entry could not be read that may have meant any host
         self.starts = HostStarts()
         self.banned: set[str] = set()
         self.keep: Callable[[str, bool], object] = lambda id, on: None  # so that it outlives the process
 
-    def begin(self, known: Known, banned: Iterable[str] = ()) -> None:
-        """The list as it was at the start, and who is left out, listed yet or not; before the actor runs."""
+    def begin(self, known: Known, banned: Iterable[str] = (), as_of: float | None = None) -> None:
+        """The list as it was at the start, at `as_of` in milliseconds of the process's clock where that is
+        known, and who is left out, listed yet or not; before the actor runs."""
         self.banned = set(banned)
         snapshot = Snapshot()
         for event in known.batch:
             if (update := read_update(BusSaid(event))) is not None:
                 self.report_bad(update)
+                self.note_doubtful(update, snapshot.servers.keys())
                 for server in update.servers.values():
                     self.remember(server)
                 snapshot.take(update)
         self.starts.learn_earlier(snapshot.servers.values())
         self.apply(list(snapshot.servers.values()), i.ListScope.REMEMBERED)
+        if as_of is not None:
+            self.confirm(as_of)
 
     def bans(self) -> list[str]:
         """The ids that operators left out."""
         return sorted(self.banned)
 
-    def receive(self, message: BusSaid | ListReplaced | Ban) -> None:
+    def receive(self, message: BusSaid | ListReplaced | BusConfirmed | Ban) -> None:
         """One message of the mailbox."""
         match message:
             case BusSaid():
@@ -132,12 +139,15 @@
                     self.take(update)
             case ListReplaced(update):
                 self.take(update)
+            case BusConfirmed(at):
+                self.confirm(at)
             case Ban(id, on, told, known):
                 told.set(self.ban(id, on, known))
 
     def take(self, update: ListUpdate) -> None:
         """An event. Hosts of spoilt entries keep their former state."""
         self.report_bad(update)
+        self.note_doubtful(update, self.hosts.keys())
         servers = list(update.servers.values())
         if update.whole and not self.hosts:
             self.starts.learn_earlier(servers)
@@ -146,6 +156,21 @@
         kept = [self.servers[id] for id in update.kept() if id in self.hosts]
         self.apply(kept + servers, i.ListScope.WHOLE)
 
+    def note_doubtful(self, update: ListUpdate, listed: Collection[str]) -> None:
+        """What discovery tells counts as told, readable or not: a host whose entry could not be read may have
+        been told to drain."""
+        if update.whole:
+            self.doubtful, self.unnamed = set(), False
+        self.doubtful -= update.servers.keys()
+        self.doubtful |= update.kept() & set(listed)
+        self.unnamed = self.unnamed or not all(error.host for error in update.bad)
+
+    def confirm(self, at: float) -> None:
+        """The module hears how old the list is, and where its word is not discovery's last."""
+        doubtful = frozenset(worker_number(id) for id in self.doubtful & self.hosts.keys())
+        if not self.unnamed:
+            self.tell_module(Confirmed(i.ListConfirmed(at, doubtful)))
+
     def report_bad(self, update: ListUpdate) -> None:
         """One line of the log for all that is spoilt in an event."""
         if update.bad:
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -126,6 +126,13 @@
     update: ListUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class BusConfirmed:
+    """All events that the bus had by `at` have come, in milliseconds of this process's clock."""
+
+    at: float
+
+
 def address(text: str) -> tuple[str, int]:
     """`host:port`. Raises ValueError, also for a host that no resolver takes."""
     host, _, port = text.rpartition(":")
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -13,6 +13,7 @@
 
 from .hold_off import HoldOff
 from .interface import Action, Drain, RequestArrived, RequestClass, SetTimer, WorkerEntry
+from .work_lease import ListAge, WorkLease
 
 NEVER = -1e18
 
@@ -74,6 +75,7 @@
     slow: float = 1.0  # answers' time against the usual of their function
     budget: Bucket = field(default_factory=Bucket)  # sends while it is cold
     hold_off: HoldOff = field(default_factory=HoldOff)
+    lease: WorkLease = field(default_factory=WorkLease)
     up: bool = True
     dead: bool = False  # it refused a connection when last tried
     out: bool = False  # taken out until an ask is answered
@@ -85,6 +87,9 @@
     told: float = NEVER  # when that was
     heard: float = NEVER
     cut: float = NEVER  # a connection to it last broke off
+    shaken: float = (
+        NEVER  # a connection broke off, or a copy that should stand was missed: it may have restarted
+    )
     full_until: dict[int | None, float] = field(default_factory=dict)  # it turned the tenant's away
     doubts: dict[int, tuple[float, float]] = field(default_factory=dict)  # class -> until, and for how long
     silent: set[int] = field(default_factory=set)  # classes overdue, until one is answered
@@ -145,6 +150,8 @@
         self.now = self.stalled = self.last_arrival = self.heard = 0.0
         self.unheard_since = inf  # when the first attempt was sent that is overdue, where all are silent
         self.zones: dict[int, int] = {}  # zone -> workers that went out since it was last heard
+        self.list_age = ListAge()
+        self.list_current = True  # in this round no lease can have run out
         self.held = 0.0  # mean of what reports told
         self.ups = 1  # the most workers that took calls at once, of those not forgotten
         self.warm_at = NEVER  # when the last one that started is warm
--- /dev/null
+++ b/harrieryoke/work_lease.py
@@ -0,0 +1,82 @@
+"""Until when a worker may get new work on the strength of what is known of it.
+
+A drain that discovery has to tell counts as told after `Settings.told_within` at the latest, also while
+discovery is out of reach. So who is known to have taken new work at some moment may get more for that span;
+after it, discovery's confirmation or the worker's own answer has to renew the lease. Times are milliseconds
+of the module's clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+
+from .interface import ListConfirmed, Settings
+
+MOST_DOUBLINGS = 4  # of the pause between two probes of a worker that takes no new work
+
+
+@dataclass(slots=True)
+class WorkLease:
+    """What one worker's own answers tell."""
+
+    proven: float = -inf  # it took new work at this moment
+    denied: float = -inf  # a probe last found that it takes none, or nothing came back
+    denials: int = 0  # since it last took some
+    probe_at: float = -inf  # no probe before this
+    probed: bool = False  # a probe is out
+
+    def renew(self, at: float) -> None:
+        """It took new work at that time, or was ready to."""
+        self.proven, self.denials = max(self.proven, at), 0
+
+    def deny(self, now: float, pause: float) -> None:
+        """It takes no new work, or does not say so; the pauses before the next probe grow from `pause`."""
+        self.denied, self.probe_at = now, now + pause * 2 ** min(self.denials, MOST_DOUBLINGS)
+        self.denials += 1
+
+
+@dataclass(slots=True)
+class ListAge:
+    """How old the worker list is. While nobody tells, it counts as current: the simulator's never ages."""
+
+    confirmed: float | None = None  # nothing that discovery told before is missing
+    doubtful: frozenset[int] = field(default_factory=frozenset)  # workers whose last entry could not be read
+
+    def take(self, event: ListConfirmed) -> None:
+        """Discovery has confirmed the list, but for the entries that could not be read."""
+        self.confirmed = max(event.at, -inf if self.confirmed is None else self.confirmed)
+        self.doubtful = event.doubtful
+
+    def listed(self, worker: int) -> float:
+        """Until when the list's word on the worker is known to have been discovery's last."""
+        if self.confirmed is None:
+            return inf
+        return -inf if worker in self.doubtful else self.confirmed
+
+    def known(self, worker: int, lease: WorkLease) -> float:
+        """Until when the worker is known to have taken new work."""
+        return max(lease.proven, self.listed(worker))
+
+    def expires(self, worker: int, lease: WorkLease, settings: Settings) -> float:
+        """When the last new work may begin to be written to the worker."""
+        return self.known(worker, lease) + settings.told_within
+
+    def is_current(self, now: float, settings: Settings) -> bool:
+        """Whether no lease can have run out."""
+        return self.confirmed is None or (not self.doubtful and _lasts(self.confirmed, now, settings))
+
+    def allows(self, worker: int, lease: WorkLease, now: float, settings: Settings) -> bool:
+        """Whether the worker may get new work that needs a connection first."""
+        return _lasts(self.known(worker, lease), now, settings)
+
+    def refuses(self, worker: int, lease: WorkLease, now: float, settings: Settings) -> bool:
+        """Whether the lease has run out and no probe promises another."""
+        if self.allows(worker, lease, now, settings):
+            return False
+        return not settings.may_probe or lease.denied > self.known(worker, lease)
+
+
+def _lasts(known: float, now: float, settings: Settings) -> bool:
+    # what is sent now may wait for a connection before its first byte
+    return now + settings.connect_timeout < known + settings.told_within
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -14,7 +14,7 @@
 from harrieryoke import interface as i
 from harrieryoke.admin.server import AdminServer
 from harrieryoke.core.metrics import Metrics
-from harrieryoke.core.records import Attempt, Call, Check, Listed, Order, Task
+from harrieryoke.core.records import Attempt, Call, Check, Confirmed, Listed, Order, Task
 from harrieryoke.errors import Busy
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
@@ -34,7 +34,11 @@
 
 
 def opened(heard: list[Listed], limits: Limits | None = None) -> HostListActor:
-    return HostListActor(SETTINGS, limits or Limits(), Quiet(), heard.append, lambda e: None, Metrics())
+    def tell(told: Listed | Confirmed) -> None:
+        assert isinstance(told, Listed), "nobody confirms the list here"
+        heard.append(told)
+
+    return HostListActor(SETTINGS, limits or Limits(), Quiet(), tell, lambda e: None, Metrics())
 
 
 def ban(actor: HostListActor, id: str, on: bool, known: bool = False) -> bool:
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -17,13 +17,13 @@
 
 from harrieryoke import interface as i
 from harrieryoke.core.metrics import Metrics
-from harrieryoke.core.records import Listed
+from harrieryoke.core.records import Confirmed, Listed
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.net import bus_follower
 from harrieryoke.net.bus_follower import BusFollower, LineBuffer, Moved, Told
 from harrieryoke.net.hostlist import BusEvent, BusSaid, HostListActor, Known, Topology
-from harrieryoke.net.hostlist_model import ListReplaced, Server, decode_line, worker_number
+from harrieryoke.net.hostlist_model import BusConfirmed, ListReplaced, Server, decode_line, worker_number
 
 from .rig import SETTINGS
 
@@ -93,12 +93,15 @@
     def __init__(self, last: int = 1, **limits: Any) -> None:
         usual: dict[str, Any] = {"bus_backoff_ms": 10.0, "bus_quiet_ms": 5000.0} | limits
         self.bus, self.told, self.log, self.gate = Bus(), list[BusSaid | ListReplaced](), Lines(), Event()
+        self.confirmed: list[float] = []
         self.gate.set()
         where = self.bus.listening.getsockname()[:2]
         self.follower = BusFollower(where, last, replace(Limits(), **usual), self.log, self.tell)
         self.follower.start()
 
-    def tell(self, said: BusSaid | ListReplaced) -> None:
+    def tell(self, said: BusSaid | ListReplaced | BusConfirmed) -> None:
+        if isinstance(said, BusConfirmed):
+            return self.confirmed.append(said.at)
         self.told.append(said)
         self.gate.wait()
 
@@ -250,12 +253,17 @@
     }
 
 
+def events_into(told: list[Any]) -> Callable[[object], None]:
+    """Keeps what tells of the list, and not that it is confirmed."""
+    return lambda said: None if isinstance(said, BusConfirmed) else told.append(said)
+
+
 def followed(patch: pytest.MonkeyPatch, last: int) -> tuple[BusFollower, list[Any], list[float]]:
     """A follower without a reader, under a clock of the test."""
     clock, told = [0.0], list[Any]()
     patch.setattr(bus_follower, "now_ms", lambda: clock[0])
     patch.setattr(bus_follower, "spawn", lambda *reader: None)
-    follower = BusFollower(("", 1), last, Limits(), Lines(), told.append)
+    follower = BusFollower(("", 1), last, Limits(), Lines(), events_into(told))
     follower.connect(0.0)
     return follower, told, clock
 
@@ -327,11 +335,14 @@
 
     def __init__(self) -> None:
         self.log, self.module, self.ports = Lines(), dict[int, i.WorkerEntry](), dict[int, Any]()
+        self.confirmed: list[i.ListConfirmed] = []
         told = self.tell
         self.actor = HostListActor(SETTINGS, Limits(), self.log, told, lambda ended: None, Metrics())
         self.offset = 0
 
-    def tell(self, listed: Listed) -> None:
+    def tell(self, listed: Listed | Confirmed) -> None:
+        if isinstance(listed, Confirmed):
+            return self.confirmed.append(listed.event)
         workers = [e.worker for e in listed.event.workers]
         assert len(workers) == len(set(workers)), "two words on one host"
         if listed.event.scope is not i.ListScope.CHANGES:
@@ -547,7 +558,7 @@
     made, told, log = List(), list[Any](), Lines()
     made.say(entry("h1", 1), entry("h2", 2), full=True)
     before = made.state()
-    follower = BusFollower(("", 1), 2, Limits(), log, told.append)
+    follower = BusFollower(("", 1), 2, Limits(), log, events_into(told))
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(bus_follower, "spawn", lambda *reader: None)
         follower.connect(0.0)
