--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -321,8 +321,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the request to the worker; attempts are numbered from 0 in this order. It is not sent if it has not
-    begun to be written by `start_by`."""
+    """Send the request to the worker; attempts are numbered from 0 in this order. What has not begun to be
+    written by `start_by` is not sent."""
 
     request: int
     worker: int
