--- a/harrieryoke/work_lease.py
+++ b/harrieryoke/work_lease.py
@@ -21,8 +21,7 @@
     """What one worker's own answers tell."""
 
     proven: float = -inf  # it took new work at this moment
-    denied: float = -inf  # a probe last found that it takes none, or nothing came back
-    denials: int = 0  # since it last took some
+    denials: int = 0  # probes since then that found that it takes none, or had no answer
     probe_at: float = -inf  # no probe before this
     probed: bool = False  # a probe is out
 
@@ -32,7 +31,7 @@
 
     def deny(self, now: float, pause: float) -> None:
         """It takes no new work, or does not say so; the pauses before the next probe grow from `pause`."""
-        self.denied, self.probe_at = now, now + pause * 2 ** min(self.denials, MOST_DOUBLINGS)
+        self.probe_at = now + pause * 2 ** min(self.denials, MOST_DOUBLINGS)
         self.denials += 1
 
 
@@ -71,10 +70,10 @@
         return _lasts(self.known(worker, lease), now, settings)
 
     def refuses(self, worker: int, lease: WorkLease, now: float, settings: Settings) -> bool:
-        """Whether the lease has run out and no probe promises another."""
+        """Whether the lease has run out and there is no other to be had for now."""
         if self.allows(worker, lease, now, settings):
             return False
-        return not settings.may_probe or lease.denied > self.known(worker, lease)
+        return not settings.may_probe or lease.probe_at > now
 
 
 def _lasts(known: float, now: float, settings: Settings) -> bool:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -49,6 +49,11 @@
                 self.answer_call(n, a.request, a.worker)
             elif isinstance(a, i.OrderCopies):
                 self.answer_order(n, a)
+            else:
+                self.answer(n, a)
+
+    def answer(self, n: int, action: i.Action) -> None:
+        """Anything else; these hosts are not probed."""
 
     def answer_call(self, n: int, request: int, worker: int) -> None:
         if worker in self.dumb:
