Hold to tests what confirms the list: heartbeats, spoilt entries, the start, a fresh module

Heartbeats count from when they can have been written; a number that is not ours, an event, a line left out and an entry that may mean any host confirm nothing.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,17 @@
 
 from harrieryoke import interface as i
 from harrieryoke.core.module import ModuleActor
-from harrieryoke.core.records import Attempt, Call, Listed, Stopping, Taken, Task, TaskEnded, Withdrawn
+from harrieryoke.core.records import (
+    Attempt,
+    Call,
+    Confirmed,
+    Listed,
+    Stopping,
+    Taken,
+    Task,
+    TaskEnded,
+    Withdrawn,
+)
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
 from harrieryoke.state import Worker
@@ -167,6 +177,24 @@
     assert len(sent) == 1 and b.step(TaskEnded(sent[0], O.OK, b"x")) == ["served d x"]
 
 
+def test_a_fresh_module_knows_how_old_the_list_is() -> None:
+    b = Bench()
+    event = i.ListConfirmed(b.now - 3000)
+    b.step(Confirmed(event))
+    assert b.script.heard[-1] == event
+    b.script.handle = lambda now, events: [][0]  # type: ignore[method-assign]
+    b.take()
+    b.take("b", left=2000)
+    (sent,) = (t for t in b.peers.tasks if isinstance(t, Attempt))
+    assert sent.start_by == event.at + b.actor.settings.told_within
+
+
+def test_an_attempt_and_an_order_begin_within_the_lease_they_were_given() -> None:
+    b = Bench([i.StartAttempt(1, 1, start_by=1200.0), i.OrderCopies(1, "f", 1, start_by=1200.0)])
+    b.take()
+    assert [task.start_by for task in b.peers.tasks] == [1200.0, 1200.0]
+
+
 def test_stopping_brings_every_answer_forward() -> None:
     b = Bench([SEND])
     b.take(kind=1, left=60000)
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -327,6 +327,54 @@
     assert [list(t.update.servers) for t in told] == [["h7"]]
 
 
+# --- how old the list is ---
+
+CONFIRMED: dict[str, tuple[list[tuple[float, bytes]], list[float]]] = {
+    "the first heartbeat tells no more than of the connection": ([(900.0, b"5")], [0.0]),
+    "each further one tells of a second more": ([(900.0, b"5"), (1900.0, b"5")], [0.0, 1000.0]),
+    "late ones that come together are as old as they are": ([(6000.0, b"5")] * 3, [0.0, 1000.0, 2000.0]),
+    "none was written after it was read": ([(10.0, b"5"), (20.0, b"5")], [0.0, 20.0]),
+    "an event tells nothing of others": ([(10.0, event(6))], []),
+    "the number of an event that has come": ([(10.0, event(6)), (900.0, b"6")], [0.0]),
+    "the number of one that has not": ([(900.0, b"6")], []),
+    "a number below the last": ([(900.0, b"4")], []),
+    "not while a line is left out": ([(1.0, b"{"), (2.0, b"{"), (900.0, b"6"), (1900.0, b"6")], []),
+    "again after a whole list": (
+        [(1.0, b"{"), (2.0, b"{"), (900.0, b"6"), (950.0, event(7, full=True)), (1900.0, b"7")],
+        [1051.0],  # the line was asked for once more, on a connection of its own: 1 ms and the pause later
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CONFIRMED)
+def test_a_heartbeat_with_our_last_number_confirms_the_list_as_of_when_it_may_have_been_written(
+    monkeypatch: pytest.MonkeyPatch, case: str
+) -> None:
+    lines, expected = CONFIRMED[case]
+    follower, _, clock = followed(monkeypatch, 5)
+    heard: list[Any] = []
+    follower.tell_list = heard.append
+    for at, line in lines:
+        clock[0] = at
+        follower.receive(Told(follower.connection, line))
+    assert [said.at for said in heard if isinstance(said, BusConfirmed)] == expected
+
+
+@pytest.mark.parametrize("period, remade", [(1000.0, 0), (1010.0, 2), (1100.0, 21)])
+def test_a_bus_whose_heartbeats_come_rarely_is_connected_anew_before_they_seem_old(
+    monkeypatch: pytest.MonkeyPatch, period: float, remade: int
+) -> None:
+    follower, _, clock = followed(monkeypatch, 5)
+    heard: list[Any] = []
+    follower.tell_list = heard.append
+    first = follower.connection
+    for n in range(1, 601):
+        clock[0] = n * period
+        follower.receive(Told(follower.connection, b"5"))
+        assert clock[0] - heard[-1].at <= follower.limits.bus_lag_ms + period
+    assert follower.connection - first == remade
+
+
 # --- the list ---
 
 
@@ -435,6 +483,41 @@
     assert "event 2: model host 'h1': zone: 'nowhere'" in line
 
 
+@pytest.mark.parametrize("full", [False, True])
+def test_a_host_whose_entry_was_spoilt_is_confirmed_by_its_next_good_one_alone(
+    listed: List, full: bool
+) -> None:
+    listed.say(entry("h1", 1, "?"), entry("h2", 2), full=full)
+    listed.actor.receive(BusConfirmed(5.0))
+    listed.say(entry("h1", 1))
+    listed.actor.receive(BusConfirmed(6.0))
+    assert listed.confirmed == [
+        i.ListConfirmed(5.0, frozenset({worker_number("h1")})),
+        i.ListConfirmed(6.0),
+    ]
+
+
+def test_an_entry_that_may_have_meant_any_host_keeps_the_list_unconfirmed_until_a_whole_one(
+    listed: List,
+) -> None:
+    listed.say(entry("", 1))
+    listed.actor.receive(BusConfirmed(5.0))
+    listed.say(entry("h1", 1))
+    listed.actor.receive(BusConfirmed(6.0))
+    assert listed.confirmed == []
+    listed.say(entry("h1", 1), full=True)
+    listed.actor.receive(BusConfirmed(7.0))
+    assert listed.confirmed == [i.ListConfirmed(7.0)]
+
+
+def test_the_list_of_the_start_is_as_old_as_the_file_that_holds_it() -> None:
+    made = List()
+    made.actor.begin(Known(1, [BusEvent(1, Topology([Server(**entry("h1", 1))]))]), as_of=5.0)
+    assert made.confirmed == [i.ListConfirmed(5.0)]
+    made.actor.strike("h1", now=True)
+    gevent.sleep(0)
+
+
 WHOLE: dict[str, tuple[list[Any], dict[str, tuple[i.Drain, int]]]] = {
     "lacks a host": ([entry("h2", 2)], {"h2": (UP, 2)}),
     "is empty": ([], {}),
