Read a heartbeat of the bus also where its number comes as an event without a list

And where such a line came ahead of its event, the event was taken for one that had come, and was never asked for again.

Also: a host counts as cold from a restart that it may have had, once that counts as told: since the last sign of its old life; the list of the start is as old as its file, also where a process takes over with an old one.

--- a/harrieryoke/brain.py
+++ b/harrieryoke/brain.py
@@ -11,7 +11,7 @@
 from .interface import Found, Outcome
 from .load_limit import STRAINED, adapt_limit
 from .repeat_rules import may_refuse, may_repeat
-from .state import NEVER, Bucket, Copy, Function, Request, Worker, count_since, digest
+from .state import NEVER, Bucket, Copy, Function, PossibleRestart, Request, Worker, count_since, digest
 from .worker_health import WorkerHealth
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
@@ -360,7 +360,7 @@
         if e.outcome is Outcome.MISS or e.load_failed:
             old = f.copies.pop(wid, None)
             if old is not None and self.now - old.seen < self.s.keep_alive:
-                w.shaken = self.now
+                w.restart = PossibleRestart(old.seen, self.now)
             f.alone = f.alone or (old is not None and self.now - old.seen > self.s.keep_alive)
             f.missed[wid] = self.now + self.s.keep_alive / 4
         elif e.outcome is Outcome.ERROR:
--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -12,7 +12,7 @@
 
 from . import interface as i
 from .checks import ConfigError, read_address
-from .core.clock import now_ms
+from .core.clock import now_ms, wall_ms
 from .limits import Limits
 from .net.hostlist_model import Known
 from .parts import Operator
@@ -63,7 +63,7 @@
     operator: Operator | None
     folder: Path | None  # what outlives the process in an upgrade is here
     told: dict[str, Any]  # the whole file, without the events up to the start
-    read_at: float  # on the clock of the process, in milliseconds; `known` is no newer
+    written: float  # when the file was, in milliseconds of the process's clock: `known` is no newer
 
 
 def read_ceilings(wire: Mapping[str, Any]) -> dict[str, Any]:
@@ -112,12 +112,21 @@
     return settings
 
 
-def read_whole(path: Path) -> bytes:
+@dataclass(frozen=True, slots=True)
+class FileContent:
+    """A file as of one moment, and when it was last written, in milliseconds of the process's clock."""
+
+    data: bytes
+    written: float
+
+
+def read_whole(path: Path) -> FileContent:
     """The bytes as of one moment. Guards against a file that changes while it is read. Raises ConfigError."""
     for _ in range(READS):
         before, data, after = path.stat(), path.read_bytes(), path.stat()
         if all(getattr(before, key) == getattr(after, key) for key in ("st_ino", "st_size", "st_mtime_ns")):
-            return data
+            age = max(0.0, wall_ms() - after.st_mtime_ns / 1e6)
+            return FileContent(data, now_ms() - age)
     raise ConfigError("RELAY_CONFIG: it changes while it is read")
 
 
@@ -127,9 +136,9 @@
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set")
-    read_at = now_ms()
     try:
-        whole = msgspec.json.decode(read_whole(Path(path)))
+        file = read_whole(Path(path))
+        whole = msgspec.json.decode(file.data)
         told = msgspec.convert(whole, PlatformFile)
     except (OSError, msgspec.MsgspecError, RecursionError) as error:
         raise ConfigError(f"RELAY_CONFIG: {error}") from None
@@ -157,5 +166,5 @@
         operator=operator,
         folder=Path(env["TMPDIR"]) if management and env.get("TMPDIR") else None,
         told={key: value for key, value in whole.items() if key != "known"},
-        read_at=read_at,
+        written=file.written,
     )
--- a/harrieryoke/lab/hosts.py
+++ b/harrieryoke/lab/hosts.py
@@ -263,7 +263,7 @@
                     gevent.sleep(0.02)
                 if self.outage is not None:
                     if self.outage is Outage.EVENTS_MISSING:
-                        sock.sendall(b"%d\n" % (at + 1))
+                        sock.sendall(b'{"offset":%d}\n' % (at + 1))
                     sock.close()
                     return
                 for event in self.events[at:]:
@@ -272,7 +272,7 @@
                 gevent.sleep(0.02)
                 quiet += 0.02
                 if quiet >= 1.0:
-                    sock.sendall(b"%d\n" % at)
+                    sock.sendall(b'{"offset":%d}\n' % at)
                     quiet = 0.0
         except (OSError, ValueError, IndexError):
             pass
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -199,7 +199,8 @@
 
 
 def decode_line(line: bytes) -> BusSaid | int:
-    """A line of the bus: an event, or the number of the last one. Raises ValueError."""
+    """A line of the bus: an event, or the number of the last one, by itself or as the offset of an event that
+    says nothing else. Raises ValueError."""
     try:
         said = WIRE_LINE.decode(line)
     except RecursionError as error:
@@ -207,7 +208,7 @@
     if isinstance(said, int):
         return said
     if said.topology is None:
-        return BusSaid(BusEvent(said.offset))
+        return said.offset
     servers, bad = list[Server](), list[BadServerError]()
     for raw in said.topology.servers:
         try:
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -68,7 +68,7 @@
         self.start_management()
         self.open_council()
         listening, banned = self.take_over()
-        self.hosts.begin(self.config.known, banned, self.config.read_at)
+        self.hosts.begin(self.config.known, banned, self.config.written)
         for before in (self.gate, self.parts.door):
             if before is not None:
                 before.start()
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -64,6 +64,15 @@
     others: float = 0.0  # crowd told beyond our own
 
 
+@dataclass(frozen=True, slots=True)
+class PossibleRestart:
+    """A connection broke off, or a copy that should stand was missed: between these times the worker may have
+    started anew, or not."""
+
+    after: float = NEVER
+    by: float = NEVER
+
+
 @dataclass(slots=True)
 class Worker:
     """What this front end believes of one worker."""
@@ -87,9 +96,7 @@
     told: float = NEVER  # when that was
     heard: float = NEVER
     cut: float = NEVER  # a connection to it last broke off
-    shaken: float = (
-        NEVER  # a connection broke off, or a copy that should stand was missed: it may have restarted
-    )
+    restart: PossibleRestart = field(default_factory=PossibleRestart)  # the last one
     full_until: dict[int | None, float] = field(default_factory=dict)  # it turned the tenant's away
     doubts: dict[int, tuple[float, float]] = field(default_factory=dict)  # class -> until, and for how long
     silent: set[int] = field(default_factory=set)  # classes overdue, until one is answered
--- a/harrieryoke/worker_health.py
+++ b/harrieryoke/worker_health.py
@@ -9,7 +9,7 @@
 from .interface import Drain, Effect, ListScope, Outcome
 from .load_limit import FIRST_LIMIT, LEAST_LIMIT, STRAINED
 from .slow_start import take_call, warmth_at
-from .state import NEVER, Bucket, Function, Load, Memory, Request, Worker, digest
+from .state import NEVER, Bucket, Function, Load, Memory, PossibleRestart, Request, Worker, digest
 
 DARK = 3  # workers out and nothing heard of their zone between: one or two may have failed by themselves
 
@@ -86,10 +86,10 @@
 
     def started(self, w: Worker) -> float:
         """Its last start as told, or one that it may have had and that counts as told by now."""
-        if self.list_current or w.shaken <= self.list_age.listed(w.entry.worker):
+        if self.list_current or w.restart.by <= self.list_age.listed(w.entry.worker):
             return w.started
-        told = self.now >= w.shaken + self.s.told_within
-        return max(w.started, w.shaken) if told else w.started
+        told = self.now >= w.restart.after + self.s.told_within
+        return max(w.started, w.restart.by) if told else w.started
 
     def has_room(self, w: Worker, r: Request) -> bool:
         shut = w.hold_off.holds(self.now) or w.full_until.get(r.event.tenant, NEVER) > self.now
@@ -138,7 +138,7 @@
         if again and w.heard < w.cut and not w.out:
             self.take_out(w, dead=False)
         w.cut = self.now if again else w.cut
-        w.shaken = self.now
+        w.restart = PossibleRestart(w.heard, self.now)
 
     def ask(self, w: Worker) -> None:
         if w.out and not w.asked and not w.leaving:
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -173,13 +173,21 @@
 
 
 @pytest.mark.parametrize(
-    "said, closes", [(b"", True), (b"1\n", True), (b"9\n", False), (b"", False), (b"1\n", False)]
+    "said, closes",
+    [
+        (b"", True),
+        (b"1\n", True),
+        (b"9\n", False),
+        (b'{"offset":9}\n', False),
+        (b"", False),
+        (b"1\n", False),
+    ],
 )
 def test_a_watch_that_is_lost_again_and_again_is_made_anew_with_growing_bounded_pauses(
     watch: Callable[..., Watch], said: bytes, closes: bool
 ) -> None:
     """It ends, names events that never come, or falls silent with its connection open."""
-    w = watch(bus_quiet_ms=60_000.0 if closes or said == b"9\n" else 200.0, bus_backoff_most_ms=60.0)
+    w = watch(bus_quiet_ms=60_000.0 if closes or b"9" in said else 200.0, bus_backoff_most_ms=60.0)
     pauses = []
     for _ in range(5):
         assert w.bus.asked() == "from 1"
@@ -337,6 +345,8 @@
     "an event tells nothing of others": ([(10.0, event(6))], []),
     "the number of an event that has come": ([(10.0, event(6)), (900.0, b"6")], [0.0]),
     "the number of one that has not": ([(900.0, b"6")], []),
+    "the number as an event that says nothing else": ([(900.0, b'{"offset":5}')], [0.0]),
+    "and of one that has not come": ([(900.0, b'{"offset":6}'), (901.0, b'{"offset":5}')], []),
     "a number below the last": ([(900.0, b"4")], []),
     "not while a line is left out": ([(1.0, b"{"), (2.0, b"{"), (900.0, b"6"), (1900.0, b"6")], []),
     "again after a whole list": (
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -369,7 +369,7 @@
             return data
 
     (tmp_path / "config.json").write_bytes(b"x")
-    assert read_whole(Restless(2)) == b"xxx"  # type: ignore[arg-type]
+    assert read_whole(Restless(2)).data == b"xxx"  # type: ignore[arg-type]
     with pytest.raises(ConfigError, match="RELAY_CONFIG: it changes"):
         read_whole(Restless(3))  # type: ignore[arg-type]
 
--- a/tests/test_work_lease.py
+++ b/tests/test_work_lease.py
@@ -211,22 +211,27 @@
     assert (2, head) in [(r, w) for _, a in rig.log for r, w in sends([a])] or sends(rig.ask(3))
 
 
-@pytest.mark.parametrize("confirmed, throttled", [(False, True), (True, False)])
+@pytest.mark.parametrize("sign", [O.RESET, O.MISS])
+@pytest.mark.parametrize("confirmed", [False, True])
 def test_a_host_that_may_have_restarted_counts_as_cold_once_that_counts_as_told(
-    confirmed: bool, throttled: bool
+    confirmed: bool, sign: i.Outcome
 ) -> None:
     rig, head = quiet_outage()
     worker = rig.router.workers[head]
     rig.ask(2)
     rig.give(i.ProbeEnded(head, O.OK, 2.0))
-    rig.settle(2, O.RESET, 5)
+    seen = rig.now
+    rig.settle(2)
+    rig.ask(3)
+    rig.wait(1000)
+    rig.settle(3, sign, 1000)
     assert rig.router.warmth(worker) == 1
-    rig.wait(TOLD_WITHIN)
+    rig.wait(seen + TOLD_WITHIN - rig.now)
     if confirmed:
         rig.give(i.ListConfirmed(rig.now))
-    rig.ask(3)
-    assert (rig.router.warmth(worker) < 1) is throttled
-    rig.wait(PROBING.cold_period)
+    rig.ask(4)
+    assert (rig.router.warmth(worker) < 1) is not confirmed
+    rig.router.now = seen + 1000 + PROBING.cold_period
     assert rig.router.warmth(worker) == 1
 
 
