--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -12,11 +12,11 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
 
 import gevent
 import pytest
 
+from harrieryoke.core.clock import now_ms
 from harrieryoke.lab import audit
 from harrieryoke.lab.hosts import Outage
 from harrieryoke.lab.world import GRACE, World
@@ -26,48 +26,85 @@
 AFTER_DEADLINE = 4000.0  # ms of the play behind the last moment at which sends are allowed
 
 
-def play(folder: Path, outage: Outage | None) -> dict[str, Any]:
-    """Half of the hosts drain half a second into an outage and stay up, turning new work away."""
-    folder.mkdir()
-    world = World(folder, seed=3, rate=CALLS_A_SECOND, hosts=6)
+class Play:
+    """Half of the hosts drain half a second into an outage and stay up, turning new work away. With `restart`
+    the invoker is killed behind the deadline and starts from its old file; else the outage ends at last."""
 
-    def trouble() -> None:
+    def __init__(self, folder: Path, outage: Outage | None, restart: bool = False) -> None:
+        folder.mkdir()
+        self.outage, self.restart = outage, restart
+        self.world = World(folder, seed=3, rate=CALLS_A_SECOND, hosts=6)
+        self.restarted = 0.0
+
+    def trouble(self) -> None:
         gevent.sleep(4.0)
-        if outage is not None:
-            world.bus.begin_outage(outage)
+        if self.outage is not None:
+            self.world.bus.begin_outage(self.outage)
         gevent.sleep(0.5)
-        for host in world.hosts[::2]:
+        drained = self.world.hosts[::2]
+        for host in drained:
             host.state = "leaving"
-        world.bus.tell(world.hosts[::2])
-
-    gevent.spawn(trouble)
-    world.run(4.5 + (TOLD_WITHIN + GRACE + AFTER_DEADLINE) / 1000, trouble_every=0.0)
-    figures = world.figures()
-    drained = max(at for host in world.hosts[::2] for at, _ in host.told)
-    late = [c for c in world.load.calls if c.sent > drained + TOLD_WITHIN]
-    figures["served_late"] = audit.served_share(late, lambda call: True)
-    told_within = 0.0 if outage is None else TOLD_WITHIN
-    figures["sends_late"] = audit.sends_after_drain(world.arrived, world.hosts, GRACE, told_within)
-    figures["exit"] = world.close()
-    return figures
+        self.world.bus.tell(drained)
+        gevent.sleep((TOLD_WITHIN + GRACE + AFTER_DEADLINE) / 1000)
+        if self.restart:
+            self.world.kill()
+            self.restarted = now_ms()
+        elif self.outage is not None:
+            self.world.bus.end_outage()
+
+    def run(self) -> Play:
+        gevent.spawn(self.trouble)
+        self.world.run(8.5 + (TOLD_WITHIN + GRACE + AFTER_DEADLINE) / 1000, trouble_every=0.0)
+        self.drained = max(at for host in self.world.hosts for at, _ in host.told)
+        self.figures = self.world.figures()
+        self.exit = self.world.close()
+        self.log = (self.world.folder / "log").read_text()
+        return self
+
+    def late_sends(self) -> int:
+        told_within = 0.0 if self.outage is None else TOLD_WITHIN
+        return audit.sends_after_drain(self.world.arrived, self.world.hosts, GRACE, told_within)
+
+    def served(self, since: float) -> float:
+        return audit.served_share([c for c in self.world.load.calls if c.sent > since], lambda call: True)
+
+
+PLAYS: dict[str, tuple[Outage | None, bool]] = {
+    "no outage": (None, False),
+    **{outage.value: (outage, False) for outage in Outage},
+    "a start in the outage": (Outage.REFUSED, True),
+}
 
 
 @pytest.fixture(scope="module")
-def plays(tmp_path_factory: pytest.TempPathFactory) -> dict[Outage | None, dict[str, Any]]:
+def plays(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Play]:
     """All plays at the same time, each with an invoker of its own."""
     folder = tmp_path_factory.mktemp("outages")
-    outages = [None, *Outage]
-    begun = [gevent.spawn(play, folder / str(n), outage) for n, outage in enumerate(outages)]
-    return {outage: greenlet.get() for outage, greenlet in zip(outages, begun, strict=True)}
-
-
-def test_nothing_new_goes_to_hosts_whose_drain_counts_as_told(
-    plays: dict[Outage | None, dict[str, Any]],
-) -> None:
-    assert {outage: figures["sends_late"] for outage, figures in plays.items()} == dict.fromkeys(plays, 0)
-
-
-def test_the_calls_are_served_all_the_same(plays: dict[Outage | None, dict[str, Any]]) -> None:
-    for outage, figures in plays.items():
-        assert figures["served_late"] > 0.9, (outage, figures)
-        assert figures["unanswered"] == figures["doubled"] == figures["exit"] == 0, (outage, figures)
+    begun = [
+        gevent.spawn(lambda n, kind: Play(folder / str(n), *kind).run(), n, kind)
+        for n, kind in enumerate(PLAYS.values())
+    ]
+    return {name: greenlet.get() for name, greenlet in zip(PLAYS, begun, strict=True)}
+
+
+def test_nothing_new_goes_to_hosts_whose_drain_counts_as_told(plays: dict[str, Play]) -> None:
+    assert {name: play.late_sends() for name, play in plays.items()} == dict.fromkeys(plays, 0)
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_the_calls_are_served_all_the_same(plays: dict[str, Play], name: str) -> None:
+    play = plays[name]
+    if play.restart:
+        assert play.served(play.restarted) > 0.9
+    else:
+        assert play.served(play.drained + TOLD_WITHIN) > 0.9
+        assert play.figures["unanswered"] == play.figures["doubled"] == 0
+    assert play.exit == 0
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_the_log_tells_how_old_the_list_is(plays: dict[str, Play], name: str) -> None:
+    log, play = plays[name].log, plays[name]
+    assert ("list-unconfirmed" in log) is (play.outage is not None)
+    assert ("list-current" in log) is (play.outage is not None and not play.restart)
+    assert (" probe mh-" in log) is (play.outage is not None), "hosts that take no new work are named"
