Count a heartbeat as of a second before it was written, as the bus hears of changes late

So what a heartbeat confirms is a second older, and a lag of heartbeats is ended sooner (2 s instead of 3).

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -43,7 +43,7 @@
     bus_anew_ms: float = (
         7000.0  # what the bus has to tell counts as told by then; a number still lower is a new count
     )
-    bus_lag_ms: float = 3000.0  # heartbeats that may be older than this are not told from late ones any more
+    bus_lag_ms: float = 2000.0  # heartbeats that may be older than this are not told from late ones any more
     bus_backoff_ms: float = 50.0
     bus_backoff_most_ms: float = 250.0
     stop_accepting_ms: float = 650.0
--- a/harrieryoke/net/bus_follower.py
+++ b/harrieryoke/net/bus_follower.py
@@ -230,7 +230,7 @@
 
     def number(self, number: int) -> None:
         """The heartbeat: the number of the bus's last event."""
-        written = self.heartbeats.take(now_ms())
+        as_of = self.heartbeats.take(now_ms())
         if number > self.last:
             if self.skipped != self.last:
                 raise ValueError(f"the bus is at {number}, and its events have not come")
@@ -238,10 +238,10 @@
         if self.snapshot is not None and number > 0:
             self.last = number  # also where an event came under a higher offset: the bus's own number counts
             self.finish_snapshot(self.snapshot.update(number))
-            return self.confirm(written)
+            return self.confirm(as_of)
         if number >= self.last:
             self.behind_since = None
-            self.confirm(written)
+            self.confirm(as_of)
         elif self.behind_since is None:
             self.behind_since = now_ms()
         elif now_ms() - self.behind_since > self.limits.bus_anew_ms:
@@ -251,10 +251,10 @@
             self.snapshot = Snapshot()
             self.connect(0.0)
 
-    def confirm(self, written: float) -> None:
-        """All that the bus had told when it wrote a heartbeat has come."""
+    def confirm(self, as_of: float) -> None:
+        """All changes before that time have come."""
         if not self.incomplete:
-            self.tell_list(BusConfirmed(written))
+            self.tell_list(BusConfirmed(as_of))
         if self.heartbeats.lags(now_ms(), self.limits.bus_lag_ms):
             self.connect(0.0)
 
--- a/harrieryoke/net/heartbeats.py
+++ b/harrieryoke/net/heartbeats.py
@@ -2,12 +2,14 @@
 
 A heartbeat tells what the bus knew when it was written, which may be long before it is read: a slow link or a
 process that stood still hands over many at once. It can't have been written before the connection began, nor
-sooner than an interval after the one before, so that is what it is trusted for.
+sooner than an interval after the one before, so that is what it is trusted for. And the bus hears of a change
+some time after it, while a drain counts from the change itself.
 """
 
 from __future__ import annotations
 
 INTERVAL_MS = 1000.0  # between two heartbeats, by the protocol
+NEWS_DELAY_MS = 1000.0  # from a change until the bus has it; up to 0.65 s was seen
 
 
 class Heartbeats:
@@ -17,9 +19,9 @@
         self.begun, self.written = begun, begun - INTERVAL_MS
 
     def take(self, now: float) -> float:
-        """One more has been read: return the time before which it was not written."""
+        """One more has been read: return as of when all changes have come, if its number is ours."""
         self.written = min(now, self.written + INTERVAL_MS)
-        return self.written
+        return self.written - NEWS_DELAY_MS
 
     def lags(self, now: float, most: float) -> bool:
         """Whether heartbeats that come more rarely than expected have made the bound older than `most`. A lag
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -14,6 +14,7 @@
 from ..limits import Limits
 from ..log import Log
 from .bus_follower import BusFollower
+from .heartbeats import NEWS_DELAY_MS
 from .host import HostActor, Retire, Standing
 from .host_starts import HostStarts
 from .hostlist_model import (
@@ -125,7 +126,7 @@
         self.starts.learn_earlier(snapshot.servers.values())
         self.apply(list(snapshot.servers.values()), i.ListScope.REMEMBERED)
         if as_of is not None:
-            self.confirm(as_of)
+            self.confirm(as_of - NEWS_DELAY_MS)
 
     def bans(self) -> list[str]:
         """The ids that operators left out."""
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BusConfirmed:
-    """All events that the bus had by `at` have come, in milliseconds of this process's clock."""
+    """All changes before `at` have come, in milliseconds of this process's clock."""
 
     at: float
 
