--- a/harrieryoke/net/heartbeats.py
+++ b/harrieryoke/net/heartbeats.py
@@ -17,13 +17,17 @@
 
     def __init__(self, begun: float) -> None:
         self.begun, self.written = begun, begun - INTERVAL_MS
+        self.first_ms: float | None = None  # from the connection's begin to the first heartbeat
 
     def take(self, now: float) -> float:
         """One more has been read: return as of when all changes have come, if its number is ours."""
         self.written = min(now, self.written + INTERVAL_MS)
+        if self.first_ms is None:
+            self.first_ms = now - self.begun
         return self.written - NEWS_DELAY_MS
 
     def lags(self, now: float, most: float) -> bool:
         """Whether heartbeats that come more rarely than expected have made the bound older than `most`. A lag
-        that a young connection has comes from its link, and another connection would have it too."""
-        return now - self.written > most and now - self.begun > 10 * most
+        that the first one had, too, comes from the link, and another connection would not be without it."""
+        lag = now - self.written
+        return self.first_ms is not None and lag > max(most, 2 * self.first_ms)
