--- a/tests/council_nodes.py
+++ b/tests/council_nodes.py
@@ -6,7 +6,6 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -20,7 +19,7 @@
 from harrieryoke.council.decide.steward import best
 from harrieryoke.ops_client import OpsError, ask
 
-from .scenario import ROOT, SETTINGS, listener, where
+from .scenario import ROOT, SETTINGS, free_address, listener, where
 
 PATIENCE = 20.0  # seconds until what should come soon is held to have failed
 
@@ -125,10 +124,7 @@
     """`table` is TOML of [council] without what is an invoker's own."""
 
     def __init__(self, folder: Path, names: str, table: str, duties: list[str]) -> None:
-        held: list[socket.socket] = [listener() for _ in range(3 * len(names))]
-        free = [where(sock) for sock in held]
-        for sock in held:
-            sock.close()
+        free = [free_address() for _ in range(3 * len(names))]
         self.duties = duties
         members = "".join(f'"{name}" = "{free.pop()}"\n' for name in names)
         told = f"[council]\n{table}\nduties = {json.dumps(duties)}\n[council.members]\n{members}"
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -27,6 +27,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
+from itertools import count
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -85,6 +86,7 @@
     "siblings": 1,
     "load-report": {"fields": ["concurrent", "depth", "x1"]},
 }
+ADDRESSES = count()
 CODES = {
     name: getattr(frames, name.upper().replace("-", "_"))
     for name in ("request", "give-up", "hold", "unload", "ok", "miss", "full", "error", "over")
@@ -102,6 +104,15 @@
     return f"{host}:{port}"
 
 
+def free_address() -> str:
+    """An address for a process of the test's to listen at. Its loopback host is this call's alone: no other
+    test, also of a run beside this one, and no outgoing connection takes it before the process binds."""
+    pid = os.getpid()
+    host = f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + next(ADDRESSES) % 254}"
+    with socket.create_server((host, 0)) as sock:
+        return where(sock)
+
+
 class Party:
     """A peer of the invoker: a listener, where it has one, and its newest connection."""
 
@@ -172,10 +183,7 @@
         self.folder, self.parties, self.offset = folder, {b: Party(listener()) for b in ("bus", "bus2")}, 0
         self.hosts = {f"h{n + 1}": Party(listener()) for n in range(hosts)}
         self.parties |= self.hosts
-        free = [listener(), listener()]
-        self.address, self.management = map(where, free)
-        for sock in free:
-            sock.close()
+        self.address, self.management = free_address(), free_address()
         if settings is None:
             settings = copy.deepcopy(SETTINGS)
             settings["classes"][1]["repeat-window"] = window
--- a/tests/test_council_part.py
+++ b/tests/test_council_part.py
@@ -26,7 +26,7 @@
 
 from .council_nodes import Nodes
 from .council_nodes import until as seen
-from .scenario import listener, where
+from .scenario import free_address
 
 DUTIES = ["reconcile", "budget:kef", "budget:bon", "calendar:sahel"]
 TIMES = {
@@ -287,10 +287,7 @@
 
 class Parts:
     def __init__(self, folder: Path, names: str) -> None:
-        free = [listener() for _ in names]
-        self.addresses = dict(zip(names, map(where, free), strict=True))
-        for sock in free:
-            sock.close()
+        self.addresses = {name: free_address() for name in names}
         self.folder, self.parts, self.tallies = folder, dict[str, CouncilPart](), dict[str, Tally]()
 
     def told(self, name: str, members: str, voters: str = "abc") -> CouncilSettings:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -20,16 +20,14 @@
 from harrieryoke.plugins import bench
 from harrieryoke.serve import load_config
 
-from .scenario import listener, run, where
+from .scenario import free_address, run
 from .test_operations import CONFIG
 
 ONE = "[door]\ninside_first = 1\ninside_least = 1\ninside_most = 1\n"  # one call inside at a time
 
 
 def test_what_waits_is_handed_on_when_there_is_room_the_most_worth_first(tmp_path: Path) -> None:
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     run(
         tmp_path,
         f"""
@@ -74,9 +72,7 @@
 
 
 def test_a_call_that_waits_is_refused_before_half_of_its_time_with_advice(tmp_path: Path) -> None:
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     seen: dict[str, str] = {}
     run(
         tmp_path,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -30,7 +30,7 @@
 from harrieryoke.store.settings import StoreSettings
 
 from .faulty import Disk
-from .scenario import Scene, listener, where
+from .scenario import Scene, free_address
 
 
 def until(done: Callable[[], object], seconds: float = 20.0) -> None:
@@ -276,9 +276,7 @@
 
 
 def test_commands_read_a_folder_and_ask_a_running_invoker(tmp_path: Path) -> None:
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     folder = tmp_path / "data"
     operator = f'[ops]\nlisten = "{ops}"\n[store]\nfolder = "{folder}"\n[ledger]\nperiod_s = 3600\n'
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -17,7 +17,7 @@
 from harrieryoke.ops import ROUTES
 from harrieryoke.serve import load_config
 
-from .scenario import FUNCTION, ROOT, SETTINGS, listener, run, where
+from .scenario import FUNCTION, ROOT, SETTINGS, free_address, listener, run, where
 from .test_mqtt import READING, TEMPLATE
 
 HOOK = '[[plugins.use]]\npath = "hooks.star"\non_failure = "{default}"\n'
@@ -94,9 +94,7 @@
 
 
 def test_the_operators_http_is_what_its_description_says(tmp_path: Path) -> None:
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     text = (
         SERVED
         + f"""
@@ -262,9 +260,7 @@
 )
 def test_without_a_vital_part_it_ends_and_says_so(broken: str, code: int, words: str, tmp_path: Path) -> None:
     taken = listener()
-    free = listener()
-    listen = where(free if broken else taken)
-    free.close()
+    listen = free_address() if broken else where(taken)
     (tmp_path / "config.json").write_text(json.dumps(CONFIG | {"listen": listen}))
     script = f"{broken}\nfrom harrieryoke.cli import main\nraise SystemExit(main(['serve']))"
     done = subprocess.run(
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -24,7 +24,7 @@
 from harrieryoke.plugins.package import read_package, verify
 from harrieryoke.plugins.settings import PluginError
 
-from .scenario import FUNCTION, ROOT, Scene, listener, run, where
+from .scenario import FUNCTION, ROOT, Scene, free_address, run
 from .test_mqtt import READING, TEMPLATE
 
 ONE = '[[plugins.use]]\npath = "{path}"\n'
@@ -301,9 +301,7 @@
 
 def scene_with(tmp_path: Path, text: str, more: str = QUICK) -> tuple[Scene, str]:
     """A running invoker with one plug-in and the operators' HTTP."""
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     (tmp_path / "p.star").write_text(text)
     return Scene(tmp_path, operator=more + ONE.format(path="p.star") + f'[ops]\nlisten = "{ops}"\n'), ops
 
@@ -396,9 +394,7 @@
             f'capabilities = ["state"]\nstate_layout = {version}\n'
         )
 
-    free = listener()
-    ops = where(free)
-    free.close()
+    ops = free_address()
     write(1, STATE)
     scene = Scene(tmp_path, operator=QUICK + ONE.format(path="plug") + f'[ops]\nlisten = "{ops}"\n')
     try:
