Review, case 3: two processes of an upgrade undo each other's bans without end

Cause: a change of a ban that came over the link of an upgrade is told back to the process that sent it. Where a second change follows within the time of a round trip, the echo undoes it and is told in turn.

Change: review/3 has the claim and a script that shows it: an operator's script calls a host out, back, and out again during an upgrade.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,83 @@
+"""Case 3: an operator takes a model host out, back and out again while an upgrade is under way."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins import (
+    BROKEN,
+    Bus,
+    Client,
+    Host,
+    Rack,
+    Record,
+    free_address,
+    now_ms,
+    play,
+    start_invoker,
+    write_config,
+)
+
+SAY_YES_MS = 6000  # DAYS: the new process has 6 s in which to say yes; then the old one gets SIGTERM
+DRAIN_MS = 1000 + 50  # after the yes, and the slack on sockets
+FUNCTIONS = [f"{n:016x}" for n in range(0xA1, 0xAD)]
+
+
+async def scenario(record: Record, folder: Path, trouble: bool) -> int:
+    bus, racks = Bus(record), [Rack(0), Rack(1)]
+    hosts = [Host(f"s-{n}", racks[n % 2], record) for n in range(6)]
+    for host in hosts:
+        await host.start()
+    await bus.start()
+    bus.publish(hosts)
+    listen = free_address()
+    write_config(folder, listen, bus, bus.known())
+    old = await start_invoker(record, folder, "old", listen)
+    if not await old.ready():
+        raise RuntimeError("the invoker did not become ready")
+    clients, draw, calling = [Client(listen, record) for _ in range(8)], random.Random(3), True
+
+    async def call(client: Client) -> None:
+        while calling:
+            await client.call("weight-read", draw.choice(FUNCTIONS), 4000, b"41.2", "coop-sahel")
+            await asyncio.sleep(draw.uniform(0.05, 0.15))
+
+    callers = [asyncio.create_task(call(client)) for client in clients]
+    await asyncio.sleep(4)
+    started_at, busiest = now_ms(), max(hosts, key=lambda host: len(host.requests))
+    if trouble:
+        new = await start_invoker(record, folder, "new", listen)
+        if not await new.ready(SAY_YES_MS / 1000):
+            raise RuntimeError("the new process did not say yes")
+    await asyncio.sleep(0.5)
+    yes_at = 0.0
+    for words in ("disable-server", "enable-server") * 3 + ("disable-server",):
+        if words == "disable-server":
+            await asyncio.sleep(0.3)
+        if not (await old.ask(f"{words} {busiest.name}")).startswith("done"):
+            raise RuntimeError("the operator's call was not answered with a yes")
+        yes_at = now_ms()
+    await asyncio.sleep((started_at + SAY_YES_MS - now_ms()) / 1000)
+    if trouble:
+        old.signal(signal.SIGTERM)
+        await old.process.wait()
+    await asyncio.sleep(3)
+    calling = False
+    for caller in callers:
+        await caller
+    work = sorted([at for at, _ in busiest.requests] + [at for at, _ in busiest.orders])
+    late = [round(at - yes_at) for at in work if at - yes_at > DRAIN_MS]
+    record(
+        f"RESULT {len(late)} requests and orders to load came to {busiest.name} later than {DRAIN_MS} ms",
+        f"after the last yes to disable-server, in ms after it: {late[:30]}",
+    )
+    return BROKEN if late else 0
+
+
+sys.exit(play(scenario, Path(__file__).resolve().parent))
