--- a/review/3/case.py
+++ b/review/3/case.py
@@ -80,8 +80,8 @@
         late_in_all += len(late)
         record(f"  {host.name}: {len(late)} later than that, in ms after the last yes: {late[:30]}")
     record(
-        f"RESULT {late_in_all} requests and orders to load came to {TAKEN_OUT} hosts later than {DRAIN_MS} ms",
-        "after the last yes to disable-server",
+        f"RESULT {late_in_all} requests and orders to load came to {TAKEN_OUT} hosts",
+        f"later than {DRAIN_MS} ms after the last yes to disable-server",
     )
     return BROKEN if late_in_all else 0
 
