Upgrade: hand the session at the MQTT broker to the new process once the old one left it

Cause: the session at the broker has one owner, but had no part in the handover. The new process connected at its start under the same client id; each put the other out some 20 times a second, and a redelivery of what the other had in hand or had answered counted as new.

Evidence: the broker's record shows the two taking the session from each other from the new process's start to the old one's end; a trigger with two answers has two deliveries and two calls, one by each process. Without the upgrade: none.

Change: a new process that has triggers says so in hello and does not connect. At 'serving' the old one takes no more, answers what it has, disconnects, and sends the answers of keys, the messages whose acknowledgement the broker may lack, and session-released; then the new one connects. A process that ends without a word leaves the session to the other as after a kill. Processes without triggers, or of the version before, are left out. A redelivery of an answered message is acknowledged also by a process that drains. The connection got a module of its own.

Not taken: passing on what is in hand and forwarding its outcomes. It has no pause, but a failure half way leaves an answer with two owners.

The broker of the tests lets a second connection take the session over, reads what the first one sent before that, and no longer takes a packet that ends in a byte over 127 for an unfinished length (a PUBACK of packet 255 stood unread).

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -54,6 +54,7 @@
     carry_ms: float = 400.0
     upgrade_links: int = 4
     handover_bytes: int = 8 * 1024 * 1024
+    handover_line_bytes: int = 256 * 1024  # of the lines that a handover is split into
     body_share: float = 0.15  # share of memory_mb for the bodies of open requests
     log_lines_per_s: int = 20
     keys: int = 50000
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -4,54 +4,34 @@
 from __future__ import annotations
 
 import base64
-import ssl
+from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
+from enum import Enum
 from typing import Any
 
-import gevent
 import msgspec
-from gevent.event import Event
-from gevent.lock import Semaphore
-from paho.mqtt import client as paho
-from paho.mqtt.enums import CallbackAPIVersion
-from paho.mqtt.packettypes import PacketTypes
-from paho.mqtt.properties import Properties
-from paho.mqtt.subscribeoptions import SubscribeOptions
 
 from .. import interface as i
-from ..core.actor import Actor, spawn
+from ..broker_session import AnsweredMessage, BrokerSession, KeptAnswer
+from ..core.actor import Actor
 from ..core.calls import CallMaker
 from ..core.clock import now_ms
 from ..core.module import ModuleActor
 from ..core.records import Call, CountersRequested
 from ..limits import Limits
 from ..log import Log
+from .connection import BrokerConnection, Connected, Delivered, PublishAcknowledged
 from .memory import FinalAnswer, KeyCache
-from .triggers import Message, Trigger, TriggerReader
+from .settings import MqttSettings
+from .triggers import Message, TriggerReader
 
-MQTT_5 = "5"
-AT_LEAST_ONCE = 1  # QoS
-LOOP_TIMEOUT_S = 0.2
-MAX_BACKOFF_FACTOR = 5  # the longest back-off for a broker, as a multiple of that for the event bus
-FLUSH_POLL_S = 0.01
 
+class Ownership(Enum):
+    """Which process of an upgrade has the session at the broker; only its owner connects."""
 
-class MqttSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """The [mqtt] table of the operator's file."""
-
-    broker: str
-    client_id: str = "harrieryoke"
-    version: str = "5"  # or "3.1.1"
-    username: str | None = None
-    password_file: str | None = None
-    ca_file: str | None = None
-    keepalive_s: int = 30
-    session_expiry_s: int = 3600
-    receive_maximum: int = 64
-    remember_s: float = 600.0
-    remember_bytes: int = 8 * 1024 * 1024
-    trigger: list[Trigger] = []
+    AWAITED = "the predecessor has it"
+    OWNED = "this process has it"
+    RELEASED = "the successor has it"
 
 
 @dataclass(slots=True, eq=False)
@@ -67,34 +47,40 @@
 
 
 @dataclass(slots=True)
-class Connected:
-    """The broker accepted a connection."""
+class CallAnswered:
+    """The module gave a call its final answer."""
 
-    connection: int
-    session_present: bool
+    call: Call
+    answer: FinalAnswer
 
 
 @dataclass(slots=True)
-class Delivered:
-    """The broker delivered a message."""
+class AnswersAdopted:
+    """Answers of keys that the predecessor gave."""
 
-    message: Message
-    connection: int
+    answers: list[KeptAnswer]
 
 
 @dataclass(slots=True)
-class CallAnswered:
-    """The module gave a call its final answer."""
+class SessionAdopted:
+    """The predecessor has left the session."""
 
-    call: Call
-    answer: FinalAnswer
+    session: BrokerSession
+
+
+class PredecessorLost:
+    """The predecessor has ended; the session is free if it was not handed over before."""
 
 
 @dataclass(slots=True)
-class PublishAcknowledged:
-    """The broker confirmed the receipt of an outcome."""
+class ReleaseRequested:
+    """A successor awaits the session; `reply` gets it."""
 
-    message_id: int
+    reply: Callable[[BrokerSession], object]
+
+
+class SuccessorLost:
+    """The process that the session was released to has ended, or will not take it."""
 
 
 class StopRequested:
@@ -115,50 +101,27 @@
     ) -> None:
         receive_maximum = mqtt_settings.receive_maximum
         super().__init__("broker", 2 * receive_maximum + 64, log, reserve=receive_maximum + 32)
-        self.mqtt_settings, self.address, self.core, self.limits = mqtt_settings, address, core, limits
+        self.core = core
         self.reader = TriggerReader(mqtt_settings.trigger, maker)
+        self.connection = BrokerConnection(
+            mqtt_settings, address, self.reader.topic_filters(), limits, log, self.blocking_send
+        )
+        self.gone = self.connection.gone
         self.key_cache: KeyCache[ReceivedTrigger] = KeyCache(
             mqtt_settings.remember_s * 1000, mqtt_settings.remember_bytes, limits.keys
         )
-        self.delivery_credits = Semaphore(receive_maximum)  # backpressure: bounds the unanswered deliveries
         self.by_message_id: dict[int, ReceivedTrigger] = {}
         self.calls: dict[Call, ReceivedTrigger] = {}
         self.unconfirmed_outcomes: set[int] = set()  # message ids
-        self.connection = 0
-        self.latest_connection = 0  # written by the connection's greenlet alone
-        self.session_predates_process = False  # the broker kept it from an earlier process
-        self.stopping, self.gone = False, Event()
+        self.ownership = Ownership.OWNED
+        # whether every message that an earlier process may have taken is in `by_message_id`
+        self.history_known = False
+        self.session_predates_process = False  # the broker kept it from a process whose history is not known
+        self.release_reply: Callable[[BrokerSession], object] | None = None
+        self.stopping = False
         self.counts = dict.fromkeys(
             ("taken", "served", "refused", "failed", "malformed", "redelivered", "joined", "retained"), 0
         )
-        self.client = self.make_client()
-
-    def make_client(self) -> paho.Client:
-        """`manual_ack`: paho acknowledges nothing by itself."""
-        v5 = self.mqtt_settings.version == MQTT_5
-        client = paho.Client(
-            CallbackAPIVersion.VERSION2,
-            self.mqtt_settings.client_id,
-            clean_session=None if v5 else False,
-            protocol=paho.MQTTv5 if v5 else paho.MQTTv311,
-            reconnect_on_failure=False,
-            manual_ack=True,
-        )
-        if self.mqtt_settings.username is not None:
-            file = self.mqtt_settings.password_file
-            client.username_pw_set(
-                self.mqtt_settings.username, Path(file).read_text().strip() if file else None
-            )
-        if self.mqtt_settings.ca_file is not None:
-            client.tls_set_context(ssl.create_default_context(cafile=self.mqtt_settings.ca_file))
-        client.max_queued_messages_set(0)
-        client.max_inflight_messages_set(self.mqtt_settings.receive_maximum)
-        client.on_connect, client.on_message, client.on_publish = (
-            self.on_connect,
-            self.on_message,
-            self.on_publish,
-        )
-        return client
 
     # --- called by the module ---
 
@@ -174,76 +137,45 @@
         """Answer a failed call."""
         self.try_send(CallAnswered(call, FinalAnswer("failed", reason=reason)))
 
-    # --- the connection: paho's greenlet ---
+    # --- called by the service and the upgrade ---
 
     def start(self) -> None:
         """Start the actor and the greenlet of the connection."""
         super().start()
-        spawn(self.log, "broker connection", self.run_connection, self.gone.set)
-
-    def run_connection(self) -> None:
-        """Keep a connection, with exponential back-off between attempts, until the actor stops."""
-        backoff = self.limits.bus_backoff_ms
-        while not self.finished:
-            self.latest_connection += 1
-            try:
-                self.connect()
-                while self.client.loop(LOOP_TIMEOUT_S) == paho.MQTT_ERR_SUCCESS and not self.finished:
-                    backoff = self.limits.bus_backoff_ms
-                reason = "lost"
-            except Exception as error:  # paho raises many kinds of errors on malformed packets
-                reason = f"{type(error).__name__}: {error}"
-            if not self.finished:
-                self.log("broker-lost", f"{self.address[0]}:{self.address[1]}: {reason}")
-                gevent.sleep(backoff / 1000)
-                backoff = min(2 * backoff, MAX_BACKOFF_FACTOR * self.limits.bus_backoff_most_ms)
-
-    def connect(self) -> None:
-        """Connect with a session that outlives the connection, and a receive maximum for the broker."""
-        if self.mqtt_settings.version != MQTT_5:
-            self.client.connect(*self.address, keepalive=self.mqtt_settings.keepalive_s)
-            return
-        properties = Properties(PacketTypes.CONNECT)  # type: ignore[no-untyped-call]
-        properties.SessionExpiryInterval = self.mqtt_settings.session_expiry_s
-        properties.ReceiveMaximum = self.mqtt_settings.receive_maximum
-        self.client.connect(
-            *self.address, keepalive=self.mqtt_settings.keepalive_s, clean_start=False, properties=properties
-        )
-
-    def on_connect(self, client: paho.Client, data: Any, flags: Any, code: Any, properties: Any) -> None:
-        """Subscribe to the triggers' topics. Called by paho."""
-        if code.is_failure:
-            return self.log("broker-refused", str(code))
-        self.blocking_send(Connected(self.latest_connection, bool(flags.session_present)))
-        if self.mqtt_settings.version == MQTT_5:
-            options = SubscribeOptions(qos=AT_LEAST_ONCE, retainHandling=SubscribeOptions.RETAIN_DO_NOT_SEND)
-            client.subscribe([(f, options) for f in self.reader.topic_filters()])
+        self.connection.start()
+        if self.ownership is Ownership.OWNED:
+            self.connection.allowed.set()
         else:
-            client.subscribe([(f, AT_LEAST_ONCE) for f in self.reader.topic_filters()])
-
-    def on_publish(self, client: paho.Client, data: Any, mid: int, code: Any, properties: Any) -> None:
-        """Report a confirmed outcome. Called by paho."""
-        self.blocking_send(PublishAcknowledged(mid))
-
-    def on_message(self, client: paho.Client, data: Any, m: paho.MQTTMessage) -> None:
-        """Wait for a credit: without one nothing more is read, and the messages stay with the broker."""
-        self.delivery_credits.acquire()
-        properties = m.properties
-        user_properties = dict(getattr(properties, "UserProperty", []))
-        message = Message(
-            m.topic,
-            bytes(m.payload),
-            m.mid,
-            m.qos,
-            m.dup,
-            m.retain,
-            getattr(properties, "ResponseTopic", None),
-            getattr(properties, "CorrelationData", None),
-            getattr(properties, "MessageExpiryInterval", None),
-            user_properties,
-            now_ms(),
-        )
-        self.blocking_send(Delivered(message, self.latest_connection))
+            self.log("broker-awaited", "the process that has served so far has the session at the broker")
+
+    def await_session(self) -> None:
+        """Do not connect before the predecessor has left the session. Must precede `start`."""
+        self.ownership = Ownership.AWAITED
+
+    def adopt_answers(self, answers: list[KeptAnswer]) -> None:
+        """Take over answers of keys from the predecessor, before `adopt`."""
+        self.blocking_send(AnswersAdopted(answers))
+
+    def adopt(self, session: BrokerSession) -> None:
+        """Connect: the predecessor has left the session."""
+        self.blocking_send(SessionAdopted(session))
+
+    def predecessor_lost(self) -> None:
+        """Connect, unless the session was adopted before: the predecessor has ended."""
+        self.blocking_send(PredecessorLost())
+
+    def release(self, reply: Callable[[BrokerSession], object]) -> None:
+        """Take no more messages, answer those that were taken, disconnect, and call `reply`."""
+        if not self.blocking_send(ReleaseRequested(reply)):
+            reply(self.export_session())  # this process has stopped, and left the session
+
+    def successor_lost(self) -> None:
+        """Serve the session again: the successor has ended."""
+        self.blocking_send(SuccessorLost())
+
+    def request_stop(self) -> None:
+        """Take no more messages, answer those that were taken, and disconnect; `gone` is set at the end."""
+        self.blocking_send(StopRequested())
 
     # --- the actor ---
 
@@ -260,18 +192,18 @@
                 self.unconfirmed_outcomes.discard(message_id)
             case CountersRequested(reply):
                 reply(self.counts | {"open": len(self.calls)})
-            case StopRequested():
-                self.stopping = True
-        # Closing with unread confirmations would reset the connection, and the last outcomes could be lost.
-        if self.stopping and not self.calls and not self.unconfirmed_outcomes and not self.mailbox:
-            self.disconnect()
+            case _:
+                self.change_ownership(message)
+        if self.is_draining() and self.is_drained():
+            self.leave_session()
 
     def handle_connected(self, connection: int, session_present: bool) -> None:
         """Begin a connection."""
         kind = "kept" if session_present else "new"
-        self.log("broker-connected", f"{self.address[0]}:{self.address[1]}, {kind} session")
-        self.session_predates_process = session_present and self.connection == 0
-        self.connection = connection
+        host, port = self.connection.address
+        self.log("broker-connected", f"{host}:{port}, {kind} session")
+        self.session_predates_process = session_present and not self.history_known
+        self.history_known = True
         if not session_present:
             # A new session numbers its messages from the start.
             self.by_message_id.clear()
@@ -280,20 +212,21 @@
         """Take one delivery. Its credit returns at once unless a new call waits for its answer."""
         digest = message.digest()
         earlier = self.by_message_id.get(message.message_id) if message.qos else None
-        if self.stopping:
-            self.delivery_credits.release()  # unacknowledged: the broker delivers it in the next session
-        elif message.retain:
-            # A retained message would cause a call at every new subscription.
-            self.counts["retained"] += 1
-            self.acknowledge(ReceivedTrigger(message, digest, connection))
-            self.delivery_credits.release()
-        elif message.dup and earlier is not None and earlier.digest == digest:
+        if message.dup and earlier is not None and earlier.digest == digest:
             # Redelivered after a lost connection: it must not be answered a second time.
             self.counts["redelivered"] += 1
             earlier.connection, earlier.acknowledged = connection, False
             if earlier.answered:
                 self.acknowledge(earlier)
-            self.delivery_credits.release()
+            self.connection.delivery_credits.release()
+        elif self.is_draining():
+            # unacknowledged: the broker delivers it in the next connection
+            self.connection.delivery_credits.release()
+        elif message.retain:
+            # A retained message would cause a call at every new subscription.
+            self.counts["retained"] += 1
+            self.acknowledge(ReceivedTrigger(message, digest, connection))
+            self.connection.delivery_credits.release()
         else:
             self.accept_trigger(ReceivedTrigger(message, digest, connection))
 
@@ -358,7 +291,7 @@
         trigger.answered = True
         self.publish_outcome(trigger.message, answer)
         self.acknowledge(trigger)
-        self.delivery_credits.release()
+        self.connection.delivery_credits.release()
 
     def publish_outcome(self, message: Message, answer: FinalAnswer) -> None:
         """Publish the answer on the response topic, if there is one."""
@@ -372,37 +305,98 @@
             outcome["reason"] = answer.reason
         if answer.retry_after:
             outcome["retry_after_ms"] = round(answer.retry_after)
-        properties = None
-        if self.mqtt_settings.version == MQTT_5:
-            properties = Properties(PacketTypes.PUBLISH)  # type: ignore[no-untyped-call]
-            if message.correlation_data is not None:
-                properties.CorrelationData = message.correlation_data
+        payload = msgspec.json.encode(outcome)
         try:
-            self.unconfirmed_outcomes.add(
-                self.client.publish(
-                    topic, msgspec.json.encode(outcome), AT_LEAST_ONCE, properties=properties
-                ).mid
-            )
+            self.unconfirmed_outcomes.add(self.connection.publish(topic, payload, message.correlation_data))
         except ValueError as error:
             self.log("bad-response-topic", f"{topic[:80]}: {error}")
 
     def acknowledge(self, trigger: ReceivedTrigger) -> None:
         """Acknowledge on the connection that delivered the message. If that is lost, the broker delivers it
         again, and the redelivery is acknowledged."""
-        if trigger.message.qos and trigger.connection == self.latest_connection and not trigger.acknowledged:
+        if trigger.message.qos and trigger.connection == self.connection.number and not trigger.acknowledged:
             trigger.acknowledged = True
-            self.client.ack(trigger.message.message_id, trigger.message.qos)
+            self.connection.acknowledge(trigger.message)
 
-    # --- shutdown ---
+    # --- who has the session ---
 
-    def request_stop(self) -> None:
-        """Take no more messages, answer those that were taken, and disconnect; `gone` is set at the end."""
-        self.blocking_send(StopRequested())
+    def is_draining(self) -> bool:
+        """Return whether no new trigger is taken, since this process stops or a successor waits."""
+        return self.stopping or self.release_reply is not None
+
+    def is_drained(self) -> bool:
+        """Return whether all that was taken is answered. A process that awaits the session still has to adopt
+        it, unless it stops.
+
+        Closing with unread confirmations would reset the connection, and the last outcomes could be lost.
+        """
+        if self.ownership is Ownership.AWAITED and not self.stopping:
+            return False
+        return not self.calls and not self.unconfirmed_outcomes and not self.mailbox
 
-    def disconnect(self) -> None:
-        """Wait until paho has sent what it still holds, then end the connection."""
-        deadline = now_ms() + self.limits.write_ms
-        while self.client.want_write() and now_ms() < deadline:
-            gevent.sleep(FLUSH_POLL_S)
-        self.finished = True
-        self.client.disconnect()
+    def change_ownership(self, message: Any) -> None:
+        """Handle a message about the session's owner, or the request to stop."""
+        match message:
+            case AnswersAdopted(answers):
+                self.adopt_kept_answers(answers)
+            case SessionAdopted(session) if self.ownership is Ownership.AWAITED:
+                self.adopt_messages(session)
+                self.own_session()
+            case PredecessorLost() if self.ownership is Ownership.AWAITED:
+                self.own_session()
+            case ReleaseRequested(reply):
+                self.release_reply = reply
+            case SuccessorLost() if self.release_reply is not None:
+                self.release_reply = None
+                if not self.stopping:
+                    self.connection.drop()  # messages that were left to the successor come again
+            case SuccessorLost() if self.ownership is Ownership.RELEASED:
+                self.own_session()
+            case StopRequested():
+                self.stopping = True
+
+    def own_session(self) -> None:
+        """Connect, unless a successor already waits for the session."""
+        self.ownership = Ownership.OWNED
+        if not self.is_draining():
+            self.connection.allowed.set()
+
+    def adopt_kept_answers(self, answers: list[KeptAnswer]) -> None:
+        """Remember the answers that the predecessor gave."""
+        now = now_ms()
+        for kept in answers:
+            answer = FinalAnswer(kept.outcome, kept.body, kept.reason, kept.retry_after)
+            self.key_cache.restore(kept.key, now - kept.age_ms, answer)
+
+    def adopt_messages(self, session: BrokerSession) -> None:
+        """Remember which messages the predecessor answered; connection 0 is none of this process's."""
+        for each in session.unconfirmed:
+            message = Message("", b"", each.message_id, qos=1)
+            self.by_message_id[each.message_id] = ReceivedTrigger(message, each.digest, 0, answered=True)
+        self.history_known = session.complete
+
+    def export_session(self) -> BrokerSession:
+        """Return what a successor has to know."""
+        now = now_ms()
+        answers = [
+            KeptAnswer(key, kept.outcome, kept.body, kept.reason, kept.retry_after, now - updated_at)
+            for key, updated_at, kept in self.key_cache.answers()
+        ]
+        answered = [AnsweredMessage(mid, t.digest) for mid, t in self.by_message_id.items() if t.answered]
+        return BrokerSession(answers, answered, self.history_known and not self.session_predates_process)
+
+    def leave_session(self) -> None:
+        """Disconnect; pass the session to the successor if one waits for it."""
+        if self.stopping:
+            self.finished = True
+            self.connection.end()
+        else:
+            self.connection.leave()
+        reply, self.release_reply = self.release_reply, None
+        if reply is None:
+            return
+        session = self.export_session()
+        self.log("broker-released", "the session at the broker goes to the process that has taken over")
+        self.ownership, self.history_known = Ownership.RELEASED, False
+        self.by_message_id.clear()
+        reply(session)
--- a/harrieryoke/mqtt/memory.py
+++ b/harrieryoke/mqtt/memory.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+from ..broker_session import BODY_NOT_KEPT
+
 W = TypeVar("W")
 
 
@@ -65,11 +68,21 @@
             # Drop the oldest body to bound the memory. Its key stays known, so it is not called again.
             oldest, size = self.body_sizes.popitem(last=False)
             self.body_bytes -= size
-            self.records[oldest].answer = FinalAnswer(
-                "failed", reason="answered before; that answer is no longer kept"
-            )
+            self.records[oldest].answer = FinalAnswer("failed", reason=BODY_NOT_KEPT)
         return waiters
 
+    def answers(self) -> Iterator[tuple[str, float, FinalAnswer]]:
+        """Yield the answered keys, the oldest first, with the time of each answer."""
+        for key, record in self.records.items():
+            if record.answer is not None:
+                yield key, record.updated_at, record.answer
+
+    def restore(self, key: str, answered_at: float, answer: FinalAnswer) -> None:
+        """Insert an answer that another process gave; to be called in the order of `answers`."""
+        self.remove(key)
+        self.records[key] = KeyRecord(answered_at)
+        self.complete(key, answered_at, answer)
+
     def remove(self, key: str) -> None:
         """Forget a key and its body."""
         if self.records.pop(key, None) is not None:
--- a/harrieryoke/operator_file.py
+++ b/harrieryoke/operator_file.py
@@ -26,7 +26,8 @@
 from .ledger.settings import LedgerError, LedgerSettings
 from .limits import Limits
 from .log import Log
-from .mqtt.front import BrokerActor, MqttSettings
+from .mqtt.front import BrokerActor
+from .mqtt.settings import MqttSettings
 from .mqtt.triggers import TriggerReader
 from .ops import OpsServer, OpsSettings
 from .parts import Parts
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from . import interface as i
+from .broker_session import BrokerSession, KeptAnswer
 from .core.calls import CallMaker
 from .core.module import ModuleActor
 from .core.records import Door, Gate, Recorder
@@ -29,10 +30,32 @@
 
 
 class BrokerPart(Part, Protocol):
-    """The front that accepts calls from an MQTT broker."""
+    """The front that accepts calls from an MQTT broker.
+
+    The broker keeps one session for all processes of an upgrade, so only one of them is connected. One that
+    awaits the session gets it by `adopt`, or by `predecessor_lost` if the other one ended without a word.
+    """
 
     gone: Event
 
+    def await_session(self) -> None:
+        """Do not connect before another process has left the session. Must precede `start`."""
+        ...
+
+    def adopt_answers(self, answers: list[KeptAnswer]) -> None: ...
+
+    def adopt(self, session: BrokerSession) -> None: ...
+
+    def predecessor_lost(self) -> None: ...
+
+    def release(self, reply: Callable[[BrokerSession], object]) -> None:
+        """Take no more messages, answer those that were taken, disconnect, and call `reply`."""
+        ...
+
+    def successor_lost(self) -> None:
+        """Serve the session again: the process that it was released to has ended."""
+        ...
+
     def request_stop(self) -> None: ...
 
     def blocking_send(self, message: Any) -> bool: ...
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -138,7 +138,7 @@
         from .upgrade.link import Upgrade
 
         path = folder / "harrieryoke-{}-{}".format(*self.config.listen)
-        self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log)
+        self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log, self.broker)
         return self.upgrade.take_over()
 
     def run(self) -> int:
@@ -255,6 +255,8 @@
         self.front.all_closed.wait((by + 100.0 - now_ms()) / 1000)
         if self.broker is not None:
             self.broker.gone.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
+        if self.upgrade is not None:
+            self.upgrade.wait_for_session(by + 100.0 - now_ms())
         if self.parts.ledger is not None:
             self.parts.ledger.stop()
         if self.parts.council is not None:
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -6,6 +6,9 @@
 `serving`, and the old one stops accepting; each client connection is transferred as soon as no request is
 open on it. While the link is up, each process sends changes of bans to the other. If the link ends before the
 old process was told to stop, the old process accepts again.
+
+The session at the MQTT broker has one owner. After `serving` the old process answers the triggers that it has
+taken, disconnects, and sends `session-released`; only then does the new one connect.
 """
 
 from __future__ import annotations
@@ -20,8 +23,9 @@
 import gevent
 import msgspec
 from gevent import socket
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
+from ..broker_session import BrokerSession, split_answers
 from ..core.actor import Actor, spawn
 from ..core.clock import now_ms, wall_ms
 from ..core.module import ModuleActor
@@ -30,6 +34,7 @@
 from ..log import Log
 from ..net.hostlist import Ban, HostListActor
 from ..net.platform import ConnectionAccepted, PlatformFront, ResumeAccepting, TransferClients
+from ..parts import BrokerPart
 from .bans import BanFile, BansError
 from .messages import (
     PEER_MESSAGE_DECODER,
@@ -43,8 +48,13 @@
     LocalBanChange,
     PeerMessageReceived,
     Serving,
+    SessionAnswers,
+    SessionLeft,
+    SessionReleased,
 )
 
+READ_BYTES = 65536
+
 
 @contextmanager
 def short_socket_path(path: Path) -> Iterator[str]:
@@ -65,7 +75,7 @@
     state: bytes
 
 
-def request_handover(path: Path, limits: Limits, log: Log) -> Predecessor | None:
+def request_handover(path: Path, limits: Limits, log: Log, hello: Hello) -> Predecessor | None:
     """Request a handover from the process that listens at `path`, for `handover_ms` at most.
 
     Returns None if there is no process, or it does not complete the handover.
@@ -75,7 +85,7 @@
         with gevent.Timeout(limits.handover_ms / 1000, TimeoutError("no answer in time")):
             with short_socket_path(path) as name:
                 sock.connect(name)
-            sock.sendall(msgspec.json.encode(Hello()) + b"\n")
+            sock.sendall(msgspec.json.encode(hello) + b"\n")
             header, state = receive_handover(sock, fds, limits)
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fds.pop())
         return Predecessor(sock, listening, header.bans, state)
@@ -94,7 +104,7 @@
     the caller can close them after an error. Raises OSError, ValueError or MsgspecError."""
     data = b""
     while b"\n" not in data:
-        more, received, _, _ = recv_fds(sock, 65536, 1)
+        more, received, _, _ = recv_fds(sock, READ_BYTES, 1)
         fds += received
         if not more or len(data) > limits.handover_bytes:
             raise ValueError("the predecessor ended before the handover was complete")
@@ -104,7 +114,7 @@
     if not fds or header.size > limits.handover_bytes:
         raise ValueError("handover without a socket, or too large")
     while len(state) < header.size:
-        more = sock.recv(65536)
+        more = sock.recv(READ_BYTES)
         if not more:
             raise ValueError("the predecessor ended before the handover was complete")
         state += more
@@ -122,6 +132,7 @@
         hosts: HostListActor,
         limits: Limits,
         log: Log,
+        broker: BrokerPart | None = None,
     ) -> None:
         """`path` is the common prefix of the socket and of the file of bans."""
         super().__init__("upgrade", limits.list_mailbox, log)
@@ -131,16 +142,23 @@
         self.links: list[Link] = []  # to processes that have sent hello, and to the predecessor
         self.reading: set[Link] = set()  # links with a reader
         self.predecessor: Predecessor | None = None
+        self.predecessor_link: Link | None = None
         hosts.on_ban_changed = self.record_ban
         self.successor: Link | None = None  # the process that has taken over
+        self.broker = broker
+        self.session_heir: Link | None = None  # the process that gets the session at the broker
+        self.session_sent = Event()  # the heir has been told that it may connect to the broker
         self.stopping = False
         self.listening: socket.socket | None = None
 
     def take_over(self) -> tuple[socket.socket | None, list[str]]:
         """Return the predecessor's listening socket, or None at an ordinary start, and the banned hosts."""
-        self.predecessor = request_handover(self.path, self.limits, self.log)
+        hello = Hello(takes_session=self.broker is not None)
+        self.predecessor = request_handover(self.path, self.limits, self.log, hello)
         if self.predecessor is not None:
             self.links.append(Link(self.predecessor.sock))
+            if self.broker is not None:
+                self.broker.await_session()
             return self.predecessor.listening, self.predecessor.bans
         try:
             return None, self.ban_file.read()
@@ -176,8 +194,9 @@
     def start(self) -> None:
         """This process serves: tell the predecessor, and listen for successors."""
         if self.predecessor is not None:
-            self.send(self.links[0], Serving())
-            self.start_reader(self.links[0])
+            self.predecessor_link = self.links[0]
+            self.send(self.predecessor_link, Serving())
+            self.start_reader(self.predecessor_link)
         self.listen()
         super().start()
 
@@ -224,9 +243,9 @@
     def read(self, link: Link) -> None:
         """Run a link's reader: its lines in order, until it ends."""
         remainder = b""
-        while len(remainder) <= self.limits.line_bytes:
+        while len(remainder) <= self.limits.handover_bytes:
             try:
-                data, received, _, _ = recv_fds(link.sock, 4096, 64)
+                data, received, _, _ = recv_fds(link.sock, READ_BYTES, 64)
             except TimeoutError:
                 continue
             except OSError:
@@ -258,15 +277,11 @@
 
     def receive(self, message: Any) -> None:
         match message:
-            case PeerMessageReceived(link, Hello()):
+            case PeerMessageReceived(link, Hello(takes_session)):
+                link.takes_session = takes_session
                 self.hand_over(link)
-            case PeerMessageReceived(link, Serving()) if not self.stopping and link in self.links:
-                self.log("taken-over", "another process serves; calls accepted here are answered here")
-                self.successor = link
-                self.front.blocking_send(
-                    TransferClients(lambda sock, name: self.blocking_send(ClientReleased(sock, name)))
-                )
-                self.core.blocking_send(ActiveChanged(False))
+            case PeerMessageReceived(link, Serving()) if link in self.links:
+                self.yield_to(link)
             case PeerMessageReceived(_, ClientTransfer(name), int(descriptor)):
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
                 self.front.blocking_send(ConnectionAccepted(sock, name, served_before=True))
@@ -277,9 +292,48 @@
             case LocalBanChange(id, on):
                 for link in self.links:
                     self.send(link, BanChange(id, on))
+            case PeerMessageReceived(_, SessionAnswers(answers)) if self.broker is not None:
+                self.broker.adopt_answers(answers)
+            case PeerMessageReceived(_, SessionReleased(unconfirmed, complete)) if self.broker is not None:
+                self.broker.adopt(BrokerSession([], unconfirmed, complete))
+            case SessionLeft(link, session):
+                self.send_session(link, session)
             case LinkLost(link):
                 self.on_link_lost(link)
 
+    def yield_to(self, link: Link) -> None:
+        """Leave what only one process can have to the process that now serves."""
+        if link.takes_session:
+            self.release_session(link)
+        if self.stopping:
+            return
+        self.log("taken-over", "another process serves; calls accepted here are answered here")
+        self.successor = link
+        self.front.blocking_send(
+            TransferClients(lambda sock, name: self.blocking_send(ClientReleased(sock, name)))
+        )
+        self.core.blocking_send(ActiveChanged(False))
+
+    def release_session(self, link: Link) -> None:
+        """Have the broker's front leave its session, which the process at the link gets."""
+        self.session_heir = link
+        if self.broker is None:
+            self.send_session(link, BrokerSession())
+        else:
+            self.broker.release(lambda session: self.blocking_send(SessionLeft(link, session)))
+
+    def send_session(self, link: Link, session: BrokerSession) -> None:
+        """Send what the new owner of the session has to know."""
+        for answers in split_answers(session.answers, self.limits.handover_line_bytes):
+            self.send(link, SessionAnswers(answers))
+        self.send(link, SessionReleased(session.unconfirmed, session.complete))
+        self.session_sent.set()
+
+    def wait_for_session(self, timeout_ms: float) -> None:
+        """Wait until a process that awaits the session has been told that it is free."""
+        if self.session_heir is not None:
+            self.session_sent.wait(max(0.0, timeout_ms) / 1000)
+
     def hand_over(self, link: Link) -> None:
         """Send a new process the listening socket, the bans and the learned state."""
         from ..state_transfer import pack
@@ -326,6 +380,12 @@
         self.reading.discard(link)
         if link in self.links:
             self.links.remove(link)
+        if self.broker is not None and link is self.predecessor_link:
+            self.broker.predecessor_lost()
+        if self.broker is not None and link is self.session_heir:
+            self.session_heir = None
+            self.session_sent.clear()
+            self.broker.successor_lost()
         if link is self.successor and not self.stopping:
             # the successor ended soon after it took over, and a process must serve
             self.log("taken-back", "the process that had taken over has ended; this one serves again")
--- a/harrieryoke/upgrade/messages.py
+++ b/harrieryoke/upgrade/messages.py
@@ -11,9 +11,14 @@
 import msgspec
 from gevent import socket
 
+from ..broker_session import AnsweredMessage, BrokerSession, KeptAnswer
+
 
 class Hello(msgspec.Struct, tag="hello"):
-    """A new process asks for a handover."""
+    """A new process asks for a handover. If it `takes_session`, it connects to the MQTT broker only after
+    `SessionReleased`, or after the end of the link."""
+
+    takes_session: bool = False
 
 
 class Serving(msgspec.Struct, tag="serving"):
@@ -40,7 +45,20 @@
     bans: list[str]
 
 
-PeerMessage = Hello | Serving | BanChange | ClientTransfer
+class SessionAnswers(msgspec.Struct, tag="session-answers"):
+    """Answers of idempotency keys, ahead of `SessionReleased`."""
+
+    answers: list[KeptAnswer]
+
+
+class SessionReleased(msgspec.Struct, tag="session-released"):
+    """The sending process has left its session at the MQTT broker, for good unless the receiver ends."""
+
+    unconfirmed: list[AnsweredMessage]
+    complete: bool
+
+
+PeerMessage = Hello | Serving | BanChange | ClientTransfer | SessionAnswers | SessionReleased
 PEER_MESSAGE_DECODER: msgspec.json.Decoder[PeerMessage] = msgspec.json.Decoder(PeerMessage)
 
 
@@ -49,6 +67,7 @@
 
     sock: socket.socket
     descriptors: deque[int] = msgspec.field(default_factory=deque)
+    takes_session: bool = False
 
     def send_with_descriptor(self, line: bytes, descriptor: int) -> None:
         """Send a line, and a descriptor with its first byte. Raises OSError."""
@@ -73,6 +92,13 @@
     name: str
 
 
+class SessionLeft(msgspec.Struct):
+    """The broker's front has left its session, which goes to the process at the other end of the link."""
+
+    link: Link
+    session: BrokerSession
+
+
 class LinkLost(msgspec.Struct):
     """A link's reader has ended."""
 
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -1,4 +1,7 @@
-"""A loopback MQTT broker for one subscriber, versions 3.1.1 and 5: sessions, QoS 1 and receive maximum."""
+"""A loopback MQTT broker for one session, versions 3.1.1 and 5: QoS 1 and receive maximum.
+
+A second connection takes the session over: the first one is told so (in version 5) and closed.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +14,7 @@
 
 CONNECT, CONNACK, PUBLISH, PUBACK, SUBSCRIBE, SUBACK = 1, 2, 3, 4, 8, 9
 PINGREQ, PINGRESP, DISCONNECT = 12, 13, 14
+SESSION_TAKEN_OVER = 0x8E
 # property identifiers
 EXPIRY, RESPONSE, CORRELATION, SESSION_EXPIRY, RECEIVE_MAX, USER = 0x02, 0x08, 0x09, 0x11, 0x21, 0x26
 PROPERTY_SIZES = {  # of fixed size
@@ -116,14 +120,14 @@
         self.answers: list[Publication] = []
         self.acked = self.delivered = self.redelivered = self.most_unacked = 0
         self.seen_mids: set[int] = set()
-        self.connections = 0
+        self.connections = self.taken_over = 0
         self.closed_in_order = False
 
     def address(self) -> str:
         return "{}:{}".format(*self.listening.getsockname())
 
     def sockets(self) -> list[socket.socket]:
-        return [self.listening] if self.conn is None else [self.conn]
+        return [self.listening] if self.conn is None else [self.listening, self.conn]
 
     def drop(self) -> None:
         """Close the connection without a DISCONNECT and keep the session."""
@@ -133,12 +137,33 @@
         self.received.clear()
 
     def step(self) -> None:
+        newest = self.accept()
+        self.read()  # also what the connection before sent ahead of a new one
+        if newest is not None:
+            self.connect(newest)
+        if self.conn is not None:
+            self.deliver()
+
+    def accept(self) -> socket.socket | None:
+        try:
+            return self.listening.accept()[0]
+        except BlockingIOError:
+            return None
+
+    def connect(self, newest: socket.socket) -> None:
+        """Serve a new connection; it takes the session from one that is still open."""
+        if self.conn is not None:
+            self.taken_over += 1
+            if self.v5:
+                self.send(packet(DISCONNECT, 0, bytes([SESSION_TAKEN_OVER, 0])))
+            self.drop()
+        self.conn = newest
+        self.connections += 1
+
+    def read(self) -> None:
+        """Handle the packets that have come."""
         if self.conn is None:
-            try:
-                self.conn, _ = self.listening.accept()
-            except BlockingIOError:
-                return
-            self.connections += 1
+            return
         self.conn.settimeout(0)
         ended = True
         try:
@@ -151,13 +176,12 @@
         while self.conn is not None and (found := self.next_packet()):
             self.handle(*found)
         if ended:
-            return self.drop()
-        self.deliver()
+            self.drop()
 
     def next_packet(self) -> tuple[int, int, bytes] | None:
         reader = PacketReader(bytes(self.received[:5]))
-        if len(self.received) < 2 or (len(self.received) < 5 and self.received[-1] >= 128):
-            return None
+        if all(byte >= 128 for byte in self.received[1:5]):
+            return None  # the length is not complete
         first = reader.number(1)
         size = reader.varint()
         if len(self.received) < reader.position + size:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -178,8 +178,9 @@
         window: int = 6000,
         settings: dict[str, Any] | None = None,
         shim: FaultShim | None = None,
+        upgradable: bool = False,
     ) -> None:
-        """Start the invoker.
+        """Start the invoker; one that is `upgradable` hands over to the process of `launch_next`.
 
         `operator` is TOML in which BROKER stands for the broker's address; `window` is that of keyed classes.
         Hosts have the first zone and flavor of the `settings`, by default SETTINGS.
@@ -209,16 +210,31 @@
         self.shim = shim
         faults = {} if shim is None else shim.environment()
         env = os.environ | faults | {"RELAY_CONFIG": str(folder / "config.json")}
-        command = [sys.executable, "-m", "harrieryoke", "serve"]
+        if upgradable:
+            (folder / "tmp").mkdir()
+            env |= {"TMPDIR": str(folder / "tmp")}
+        self.environment = env
+        self.command = [sys.executable, "-m", "harrieryoke", "serve"]
         if operator:
             operator_text = operator.replace("BROKER", self.broker.address())
             (folder / "operator.toml").write_text(operator_text)
-            command += ["--operator", str(folder / "operator.toml")]
-        with open(folder / "log", "w") as log:
-            self.process = subprocess.Popen(command, env=env, cwd=ROOT, stderr=log, stdout=log)
+            self.command += ["--operator", str(folder / "operator.toml")]
+        self.process = self.launch(env)
+        self.predecessors: list[subprocess.Popen[bytes]] = []
         self.log_position, self.bodies = 0, dict[str, str]()
         self.wait("started")
 
+    def launch(self, env: dict[str, str]) -> subprocess.Popen[bytes]:
+        with open(self.folder / "log", "a") as log:
+            return subprocess.Popen(self.command, env=env, cwd=ROOT, stderr=log, stdout=log)
+
+    def launch_next(self) -> subprocess.Popen[bytes]:
+        """Start an upgrade: a new process beside this one, which is returned. Both write to the log."""
+        old, self.management = self.process, free_address()
+        self.predecessors.append(old)
+        self.process = self.launch(self.environment | {"RELAY_MANAGEMENT": self.management})
+        return old
+
     def send_config(self, *words: str) -> None:
         """Write the configuration file.
 
@@ -465,10 +481,11 @@
         party.connection = None if words == ["end"] else party.connection
 
     def end(self) -> str:
-        """Kill the process if it still runs; return its log."""
-        if self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        """Kill the processes that still run; return their log."""
+        for process in (self.process, *self.predecessors):
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for party in self.parties.values():
             for sock in (party.listening, party.connection):
                 if sock is not None:
