MQTT: keep an answered message only until the broker is known to have its acknowledgement

Cause: by_message_id kept each answered message until its packet identifier came again. A broker reuses an identifier once it has the acknowledgement; a message lost on its way then comes again, marked as a duplicate, with the identifier of one that was answered long ago, and topic and payload were all that told them apart.

Change: mqtt/deliveries.py keeps an answered message until the broker has answered a ping that was sent after its acknowledgement on the same connection, and what tells messages apart covers all that a redelivery repeats. Both halves are needed: equal messages of MQTT 3.1.1 differ in nothing, and until the ping's answer only the content can tell. A process that stops or hands over waits for that answer. Nothing of an answered message stays in memory after it.

--- a/harrieryoke/broker_session.py
+++ b/harrieryoke/broker_session.py
@@ -33,10 +33,13 @@
 
 
 class AnsweredMessage(msgspec.Struct):
-    """An answered message whose acknowledgement the broker may not have; `digest` tells its content."""
+    """An answered message whose acknowledgement the broker may not have.
+
+    `identity` is a digest of all that a redelivery repeats.
+    """
 
     message_id: int
-    digest: str
+    identity: str
 
 
 class BrokerSession(msgspec.Struct):
--- a/harrieryoke/mqtt/connection.py
+++ b/harrieryoke/mqtt/connection.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 from gevent.lock import Semaphore
 from paho.mqtt import client as paho
-from paho.mqtt.enums import CallbackAPIVersion
+from paho.mqtt.enums import CallbackAPIVersion, MQTTErrorCode
 from paho.mqtt.packettypes import PacketTypes
 from paho.mqtt.properties import Properties
 from paho.mqtt.subscribeoptions import SubscribeOptions
@@ -53,10 +53,47 @@
     message_id: int
 
 
-def make_client(mqtt_settings: MqttSettings) -> paho.Client:
+@dataclass(slots=True)
+class PingAnswered:
+    """The broker answered a ping, and so has all that was sent before it."""
+
+    ping: int  # its number on this connection, from 1
+    connection: int
+
+
+class PingCountingClient(paho.Client):
+    """Numbers the pings of a connection, which the broker answers in order; paho sends some by itself."""
+
+    pings_sent = 0
+    pings_answered = 0
+
+    def restart_count(self) -> None:
+        """Count from the start: a new connection begins."""
+        self.pings_sent = self.pings_answered = 0
+
+    def ping(self) -> int:
+        """Send a ping and return its number."""
+        self._send_pingreq()
+        return self.pings_sent
+
+    def on_ping_answered(self, number: int) -> None:
+        """Called for each answer."""
+
+    def _send_pingreq(self) -> MQTTErrorCode:
+        self.pings_sent += 1
+        return super()._send_pingreq()
+
+    def _handle_pingresp(self) -> MQTTErrorCode:
+        code = super()._handle_pingresp()
+        self.pings_answered += 1
+        self.on_ping_answered(self.pings_answered)
+        return code
+
+
+def make_client(mqtt_settings: MqttSettings) -> PingCountingClient:
     """Return a client that acknowledges nothing by itself (`manual_ack`)."""
     v5 = mqtt_settings.version == MQTT_5
-    client = paho.Client(
+    client = PingCountingClient(
         CallbackAPIVersion.VERSION2,
         mqtt_settings.client_id,
         clean_session=None if v5 else False,
@@ -98,6 +135,7 @@
         self.client.on_connect = self.on_connect
         self.client.on_message = self.on_message
         self.client.on_publish = self.on_publish
+        self.client.on_ping_answered = self.on_ping_answered  # type: ignore[method-assign]
 
     # --- called by the actor ---
 
@@ -114,9 +152,13 @@
                 properties.CorrelationData = correlation_data
         return self.client.publish(topic, payload, AT_LEAST_ONCE, properties=properties).mid
 
-    def acknowledge(self, message: Message) -> None:
+    def acknowledge(self, message_id: int) -> None:
         """Acknowledge a message on the connection that is open."""
-        self.client.ack(message.message_id, message.qos)
+        self.client.ack(message_id, AT_LEAST_ONCE)
+
+    def ping(self) -> int:
+        """Send a ping on the connection that is open; return its number, which `PingAnswered` repeats."""
+        return self.client.ping()
 
     def drop(self) -> None:
         """End the connection, so that a new one brings all unacknowledged messages again."""
@@ -157,6 +199,7 @@
             if self.ended:
                 return
             self.number += 1
+            self.client.restart_count()
             try:
                 self.connect()
                 while self.client.loop(LOOP_TIMEOUT_S) == paho.MQTT_ERR_SUCCESS and self.is_wanted():
@@ -198,6 +241,10 @@
         """Report a confirmed outcome. Called by paho."""
         self.post(PublishAcknowledged(mid))
 
+    def on_ping_answered(self, number: int) -> None:
+        """Report an answered ping. Called by paho."""
+        self.post(PingAnswered(number, self.number))
+
     def on_message(self, client: paho.Client, data: Any, m: paho.MQTTMessage) -> None:
         """Wait for a credit: without one nothing more is read, and the messages stay with the broker."""
         self.delivery_credits.acquire()
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .. import interface as i
-from ..broker_session import AnsweredMessage, BrokerSession, KeptAnswer
+from ..broker_session import BrokerSession, KeptAnswer
 from ..core.actor import Actor
 from ..core.calls import CallMaker
 from ..core.clock import now_ms
@@ -20,7 +20,8 @@
 from ..core.records import Call, CountersRequested
 from ..limits import Limits
 from ..log import Log
-from .connection import BrokerConnection, Connected, Delivered, PublishAcknowledged
+from .connection import BrokerConnection, Connected, Delivered, PingAnswered, PublishAcknowledged
+from .deliveries import AnsweredDelivery, DeliveryLog, ReceivedTrigger
 from .memory import FinalAnswer, KeyCache
 from .settings import MqttSettings
 from .triggers import Message, TriggerReader
@@ -34,16 +35,12 @@
     RELEASED = "the successor has it"
 
 
-@dataclass(slots=True, eq=False)
-class ReceivedTrigger:
-    """A message that was taken: it is owed one outcome and one acknowledgement."""
+@dataclass(slots=True)
+class PingInFlight:
+    """A ping that the broker has not answered, sent after so many acknowledgements."""
 
-    message: Message
-    digest: str
-    connection: int  # number of the connection that delivered it last
-    key: str | None = None
-    answered: bool = False
-    acknowledged: bool = False
+    number: int
+    acknowledgements: int
 
 
 @dataclass(slots=True)
@@ -110,11 +107,13 @@
         self.key_cache: KeyCache[ReceivedTrigger] = KeyCache(
             mqtt_settings.remember_s * 1000, mqtt_settings.remember_bytes, limits.keys
         )
-        self.by_message_id: dict[int, ReceivedTrigger] = {}
+        self.deliveries = DeliveryLog()
+        self.connected = 0  # number of the connection that the broker accepted last
+        self.ping: PingInFlight | None = None  # on that connection
         self.calls: dict[Call, ReceivedTrigger] = {}
         self.unconfirmed_outcomes: set[int] = set()  # message ids
         self.ownership = Ownership.OWNED
-        # whether every message that an earlier process may have taken is in `by_message_id`
+        # whether every message that an earlier process may have taken is in `deliveries`
         self.history_known = False
         self.session_predates_process = False  # the broker kept it from a process whose history is not known
         self.release_reply: Callable[[BrokerSession], object] | None = None
@@ -190,10 +189,13 @@
                 self.handle_answer(call, answer)
             case PublishAcknowledged(message_id):
                 self.unconfirmed_outcomes.discard(message_id)
+            case PingAnswered(ping, connection):
+                self.handle_ping_answered(ping, connection)
             case CountersRequested(reply):
                 reply(self.counts | {"open": len(self.calls)})
             case _:
                 self.change_ownership(message)
+        self.confirm_acknowledgements()
         if self.is_draining() and self.is_drained():
             self.leave_session()
 
@@ -206,18 +208,30 @@
         self.history_known = True
         if not session_present:
             # A new session numbers its messages from the start.
-            self.by_message_id.clear()
+            self.deliveries.clear()
+        self.connected, self.ping = connection, None
+
+    def confirm_acknowledgements(self) -> None:
+        """Ping the broker if it may lack an acknowledgement, one ping at a time."""
+        is_open = self.connected == self.connection.number
+        if self.deliveries.answered and self.ping is None and is_open and not self.mailbox:
+            self.ping = PingInFlight(self.connection.ping(), self.deliveries.acknowledgements)
+
+    def handle_ping_answered(self, number: int, connection: int) -> None:
+        """Note what the broker must have, if the ping is one of this actor's."""
+        if self.ping is not None and connection == self.connected and number >= self.ping.number:
+            self.deliveries.confirm(connection, self.ping.acknowledgements)
+            self.ping = None
 
     def handle_delivered(self, message: Message, connection: int) -> None:
         """Take one delivery. Its credit returns at once unless a new call waits for its answer."""
-        digest = message.digest()
-        earlier = self.by_message_id.get(message.message_id) if message.qos else None
-        if message.dup and earlier is not None and earlier.digest == digest:
+        identity = message.identity()
+        earlier = self.deliveries.find_redelivered(message, identity, connection)
+        if earlier is not None:
             # Redelivered after a lost connection: it must not be answered a second time.
             self.counts["redelivered"] += 1
-            earlier.connection, earlier.acknowledged = connection, False
-            if earlier.answered:
-                self.acknowledge(earlier)
+            if isinstance(earlier, AnsweredDelivery):
+                self.acknowledge(message, connection)
             self.connection.delivery_credits.release()
         elif self.is_draining():
             # unacknowledged: the broker delivers it in the next connection
@@ -225,17 +239,16 @@
         elif message.retain:
             # A retained message would cause a call at every new subscription.
             self.counts["retained"] += 1
-            self.acknowledge(ReceivedTrigger(message, digest, connection))
+            self.acknowledge(message, connection)
             self.connection.delivery_credits.release()
         else:
-            self.accept_trigger(ReceivedTrigger(message, digest, connection))
+            self.accept_trigger(ReceivedTrigger(message, identity, connection))
 
     def accept_trigger(self, trigger: ReceivedTrigger) -> None:
         """Turn a new message into a call, or answer it from the cache or with an error."""
         message = trigger.message
         self.counts["taken"] += 1
-        if message.qos:
-            self.by_message_id[message.message_id] = trigger
+        self.deliveries.take(trigger)
         try:
             call = self.reader.read(message)
         except Exception as error:
@@ -288,9 +301,9 @@
     def finish_trigger(self, trigger: ReceivedTrigger, answer: FinalAnswer) -> None:
         """Publish the trigger's final answer, then acknowledge its message."""
         self.counts[answer.outcome] += 1
-        trigger.answered = True
         self.publish_outcome(trigger.message, answer)
-        self.acknowledge(trigger)
+        self.deliveries.record_answer(trigger)
+        self.acknowledge(trigger.message, trigger.connection)
         self.connection.delivery_credits.release()
 
     def publish_outcome(self, message: Message, answer: FinalAnswer) -> None:
@@ -311,12 +324,12 @@
         except ValueError as error:
             self.log("bad-response-topic", f"{topic[:80]}: {error}")
 
-    def acknowledge(self, trigger: ReceivedTrigger) -> None:
+    def acknowledge(self, message: Message, connection: int) -> None:
         """Acknowledge on the connection that delivered the message. If that is lost, the broker delivers it
         again, and the redelivery is acknowledged."""
-        if trigger.message.qos and trigger.connection == self.connection.number and not trigger.acknowledged:
-            trigger.acknowledged = True
-            self.connection.acknowledge(trigger.message)
+        if message.qos and connection == self.connection.number:
+            self.connection.acknowledge(message.message_id)
+            self.deliveries.record_acknowledgement(message.message_id)
 
     # --- who has the session ---
 
@@ -332,7 +345,8 @@
         """
         if self.ownership is Ownership.AWAITED and not self.stopping:
             return False
-        return not self.calls and not self.unconfirmed_outcomes and not self.mailbox
+        unconfirmed = self.unconfirmed_outcomes or self.deliveries.answered
+        return not self.calls and not unconfirmed and not self.mailbox
 
     def change_ownership(self, message: Any) -> None:
         """Handle a message about the session's owner, or the request to stop."""
@@ -340,7 +354,8 @@
             case AnswersAdopted(answers):
                 self.adopt_kept_answers(answers)
             case SessionAdopted(session) if self.ownership is Ownership.AWAITED:
-                self.adopt_messages(session)
+                self.deliveries.adopt_unconfirmed(session.unconfirmed)
+                self.history_known = session.complete
                 self.own_session()
             case PredecessorLost() if self.ownership is Ownership.AWAITED:
                 self.own_session()
@@ -368,13 +383,6 @@
             answer = FinalAnswer(kept.outcome, kept.body, kept.reason, kept.retry_after)
             self.key_cache.restore(kept.key, now - kept.age_ms, answer)
 
-    def adopt_messages(self, session: BrokerSession) -> None:
-        """Remember which messages the predecessor answered; connection 0 is none of this process's."""
-        for each in session.unconfirmed:
-            message = Message("", b"", each.message_id, qos=1)
-            self.by_message_id[each.message_id] = ReceivedTrigger(message, each.digest, 0, answered=True)
-        self.history_known = session.complete
-
     def export_session(self) -> BrokerSession:
         """Return what a successor has to know."""
         now = now_ms()
@@ -382,8 +390,8 @@
             KeptAnswer(key, kept.outcome, kept.body, kept.reason, kept.retry_after, now - updated_at)
             for key, updated_at, kept in self.key_cache.answers()
         ]
-        answered = [AnsweredMessage(mid, t.digest) for mid, t in self.by_message_id.items() if t.answered]
-        return BrokerSession(answers, answered, self.history_known and not self.session_predates_process)
+        complete = self.history_known and not self.session_predates_process
+        return BrokerSession(answers, self.deliveries.export_unconfirmed(), complete)
 
     def leave_session(self) -> None:
         """Disconnect; pass the session to the successor if one waits for it."""
@@ -398,5 +406,5 @@
         session = self.export_session()
         self.log("broker-released", "the session at the broker goes to the process that has taken over")
         self.ownership, self.history_known = Ownership.RELEASED, False
-        self.by_message_id.clear()
+        self.deliveries.clear()
         reply(session)
--- a/harrieryoke/mqtt/triggers.py
+++ b/harrieryoke/mqtt/triggers.py
@@ -50,9 +50,15 @@
     received_at: float = 0.0
 
     def digest(self) -> str:
-        """Return a digest of topic and payload, to recognise a redelivery."""
+        """Return a digest of topic and payload: the idempotency key of a trigger that names no other."""
         return blake2b(self.topic.encode() + b"\0" + self.payload, digest_size=16).hexdigest()
 
+    def identity(self) -> str:
+        """Return a digest of all that a redelivery repeats. Of the expiry the broker sends what is left."""
+        properties = (self.response_topic, self.correlation_data, list(self.user_properties.items()))
+        fields = (self.topic, self.payload, self.retain, properties)
+        return blake2b(msgspec.msgpack.encode(fields), digest_size=16).hexdigest()
+
 
 class TriggerMatcher:
     """A compiled trigger: its topic filter, topic pattern and payload schema. Raises ValueError; the message
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -136,6 +136,13 @@
         self.conn, self.subscribed = None, False
         self.received.clear()
 
+    def lose(self, publication: Publication) -> None:
+        """Lose the connection, and with it a new message that has the identifier of the last one."""
+        assert self.mid not in self.unacked, "the last message has to be acknowledged before"
+        self.unacked[self.mid] = publication
+        self.delivered += 1
+        self.drop()
+
     def step(self) -> None:
         newest = self.accept()
         self.read()  # also what the connection before sent ahead of a new one
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -36,6 +36,7 @@
 from .faults.shim import FaultShim
 
 ROOT = Path(__file__).parent.parent
+QUIET_S = 0.3  # in which all that is under way arrives
 TIMEOUT_S = 20.0  # until a step that should succeed at once counts as failed
 FUNCTION = "7f3a9c21e0b4d655"
 SETTINGS: dict[str, Any] = {
@@ -430,9 +431,11 @@
     # --- the MQTT broker ---
 
     def talk_to_broker(self, verb: str, words: list[str]) -> None:
-        """`send broker TOPIC PAYLOAD [response=TOPIC] [correlation=TEXT] [expiry=S] [retain=1] [out=1]`;
-        `out` was delivered to an earlier process. `expect broker served|refused|failed [to=TOPIC]
-        [correlation=TEXT] [body=TEXT]`, `acked N`, `redelivered N`, `end`. Closing it keeps the session."""
+        """`send broker TOPIC PAYLOAD [response=TOPIC] [correlation=TEXT] [expiry=S] [retain=1] [out=1]
+        [lost=1]`; `out` was delivered to an earlier process, `lost` is lost with the connection, after a
+        quiet moment, under the identifier of the message before. `expect broker served|refused|failed
+        [to=TOPIC] [correlation=TEXT] [body=TEXT]`, `acked N`, `redelivered N`, `end`. Closing it keeps the
+        session."""
         broker = self.broker
         if verb == "close":
             return broker.drop()
@@ -449,7 +452,11 @@
                 {},
                 "retain" in given,
             )
-            if "out" in given:
+            if "lost" in given:
+                quiet_until = time.monotonic() + QUIET_S
+                until(lambda: time.monotonic() > quiet_until, broker)
+                broker.lose(publication)
+            elif "out" in given:
                 broker.known, broker.unacked[broker.mid + 1] = True, publication
             else:
                 broker.queue.append(publication)
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -95,6 +95,31 @@
         expect broker served body=once
         send broker {WEIGHT} 42 response=a
         expect h1 request body=42""",
+    # guards against a trigger that is acknowledged and dropped, as a reused identifier makes it look answered
+    "a message lost on its way, with the identifier and content of an answered one, is called": f"""
+        send broker {WEIGHT} 41 response=a correlation=one
+        expect h1 request body=41
+        send h1 ok body=first
+        expect broker served correlation=one body=first
+        expect broker acked 1
+        send broker {WEIGHT} 41 response=a correlation=two lost=1
+        expect broker redelivered 1
+        expect h1 request body=41
+        send h1 ok body=second
+        expect broker served correlation=two body=second
+        expect broker acked 2""",
+    "a lost message that equals the one before it in everything is called": f"""
+        send broker {WEIGHT} 41 response=a
+        expect h1 request body=41
+        send h1 ok body=first
+        expect broker served body=first
+        expect broker acked 1
+        send broker {WEIGHT} 41 response=a lost=1
+        expect broker redelivered 1
+        expect h1 request body=41
+        send h1 ok body=second
+        expect broker served body=second
+        expect broker acked 2""",
     "a second message with the key of an open call joins it": f"""
         send broker {HARVEST} {READING} correlation=one
         expect h1 request op=r1
