Upgrade: the latest change of a ban holds in both processes, and none is sent back

Cause: set_banned passed every change to record_ban, whoever had made it, and that told all links. A change came back as an echo; where the host had changed meanwhile the echo undid that, and was told in turn. Nothing in a change told its order.

Ruled out: the event bus (no event), work queued before the ban (it came up to 5 s late), the file of bans (read at a start alone).

Change: each change has a version, when the operator made it on the machine's monotonic clock, which the processes of an upgrade share; the later one holds in whatever order they arrive, a process passes it on to others than its sender, and the handover brings the versions. A change that finds the mailbox full is told after its next message instead of never. Not taken: Lamport counters, which give calls at two processes within a round trip no order.

--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from time import monotonic_ns
 
 from gevent.event import AsyncResult
 
@@ -13,6 +14,7 @@
 from ..core.records import HostName, HostPort, TaskEnded, WorkerListConfirmed, WorkersChanged
 from ..limits import Limits
 from ..log import Log
+from .bans import BanChanged, BanTable
 from .bus_follower import BusFollower
 from .heartbeats import PROPAGATION_DELAY_MS
 from .host import HostActor, HostRemoved, HostStatus
@@ -55,13 +57,15 @@
 class Ban:
     """An operator bans a model host, or lifts the ban.
 
-    `reply` gets True once the change is in force, or False for an id that was never listed.
+    `reply` gets True once the change, or a later one, is in force, or False for an id that was never listed.
     """
 
     id: str
     banned: bool
     reply: AsyncResult
     from_peer: bool = False  # the other process of an upgrade sent it, and has listed the host
+    version: int = 0  # as in BanChanged; 0 if the change is made now, or the other process gave none
+    source: object = None  # who sent it, and need not be told of it
 
 
 @dataclass(slots=True)
@@ -112,18 +116,28 @@
         self.doubtful: set[str] = set()  # listed hosts whose latest entry could not be read
         self.has_unattributed_error = False  # an unreadable entry may concern any host
         self.host_starts = HostStarts()
-        self.banned: set[str] = set()
-        # stores a change of bans beyond this process: the host's id, and whether it is banned
-        self.on_ban_changed: Callable[[str, bool], object] = lambda id, banned: None
+        self.ban_table = BanTable(limits.ids_remembered)
+        # stores a change of bans beyond this process
+        self.on_ban_changed: Callable[[BanChanged], object] = lambda change: None
+
+    @property
+    def banned(self) -> set[str]:
+        """The ids of the banned hosts."""
+        return self.ban_table.banned
 
     def load_initial(
-        self, known_events: KnownEvents, banned: Iterable[str] = (), as_of: float | None = None
+        self,
+        known_events: KnownEvents,
+        banned: Iterable[str] = (),
+        as_of: float | None = None,
+        ban_versions: Mapping[str, int] | None = None,
     ) -> None:
         """Load the list as of start-up and the banned hosts, listed or not, before the actor runs.
 
-        `as_of` is the time of the list in milliseconds of the process's clock, if known.
+        `as_of` is the time of the list in milliseconds of the process's clock, if known; `ban_versions` are
+        those that the process before knew, also of lifted bans.
         """
-        self.banned = set(banned)
+        self.ban_table.load(banned, ban_versions or {})
         snapshot = Snapshot()
         for event in known_events.batch:
             if (update := validate_event(EventReceived(event))) is not None:
@@ -151,8 +165,8 @@
                 self.apply_update(update)
             case ListConfirmed(as_of):
                 self.confirm_list(as_of)
-            case Ban(id, banned, reply, from_peer):
-                reply.set(self.set_banned(id, banned, from_peer))
+            case Ban():
+                message.reply.set(self.set_banned(message))
 
     def apply_update(self, update: ListUpdate) -> None:
         """Apply an event. Hosts with an invalid entry keep their previous state."""
@@ -199,19 +213,23 @@
         more = f" (and {len(errors) - 1} more)" if len(errors) > 1 else ""
         self.log("bad-event", f"event {offset}: {errors[0]}{more}; {advice}")
 
-    def set_banned(self, id: str, banned: bool, from_peer: bool) -> bool:
+    def set_banned(self, ban: Ban) -> bool:
         """Ban a host or lift its ban; return False for an id that was never listed.
 
-        When this returns, the host's actor and the module have received the change.
+        When this returns, the host's actor and the module have received the change, unless a later one is in
+        force. An operator's call that changes nothing here is later than what another process may have told.
         """
-        if not from_peer and id not in self.servers and id not in self.banned:
+        if not ban.from_peer and ban.id not in self.servers and ban.id not in self.banned:
             return False
-        if banned != (id in self.banned):
-            self.log("banned" if banned else "unbanned", id)
-            self.banned ^= {id}
-            if id in self.hosts:
-                self.apply_entries([self.servers[id]], i.ListScope.CHANGES)
-            self.on_ban_changed(id, banned)
+        was_banned = ban.id in self.banned
+        version = ban.version or self.ban_table.next_version(ban.id, monotonic_ns())
+        if not self.ban_table.apply(ban.id, ban.banned, version):
+            return True
+        if ban.banned != was_banned:
+            self.log("banned" if ban.banned else "unbanned", ban.id)
+            if ban.id in self.hosts:
+                self.apply_entries([self.servers[ban.id]], i.ListScope.CHANGES)
+        self.on_ban_changed(BanChanged(ban.id, ban.banned, version, ban.source))
         return True
 
     def remember_server(self, server: Server) -> None:
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -71,7 +71,8 @@
         self.start_management()
         self.open_council()
         listening, banned = self.take_over_listener()
-        self.hosts.load_initial(self.config.known, banned, self.config.file_written_at)
+        ban_versions = {} if self.upgrade is None else self.upgrade.ban_versions()
+        self.hosts.load_initial(self.config.known, banned, self.config.file_written_at, ban_versions)
         for stage in (self.gate, self.parts.door):
             if stage is not None:
                 stage.start()
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -4,8 +4,10 @@
 banned hosts and the size of the state that follows. The listening socket comes with that line (SCM_RIGHTS),
 and the state packed by `state_transfer.py` after it. Once the new process accepts clients, it sends
 `serving`, and the old one stops accepting; each client connection is transferred as soon as no request is
-open on it. While the link is up, each process sends changes of bans to the other. If the link ends before the
-old process was told to stop, the old process accepts again.
+open on it. If the link ends before the old process was told to stop, the old process accepts again.
+
+While the link is up, each process sends changes of bans to the other. The latest change of a host's ban holds
+in all processes; a process passes on what it is told only to others than the sender.
 
 The session at the MQTT broker has one owner. After `serving` the old process answers the triggers that it has
 taken, disconnects, and sends `session-released`; only then does the new one connect.
@@ -32,6 +34,7 @@
 from ..core.records import ActiveChanged, RouterCommand
 from ..limits import Limits
 from ..log import Log
+from ..net.bans import BanChanged
 from ..net.hostlist import Ban, HostListActor
 from ..net.platform import ConnectionAccepted, PlatformFront, ResumeAccepting, TransferClients
 from ..parts import BrokerPart
@@ -39,13 +42,13 @@
 from .messages import (
     PEER_MESSAGE_DECODER,
     BanChange,
+    BansChanged,
     ClientReleased,
     ClientTransfer,
     HandoverHeader,
     Hello,
     Link,
     LinkLost,
-    LocalBanChange,
     PeerMessageReceived,
     Serving,
     SessionAnswers,
@@ -72,6 +75,7 @@
     sock: socket.socket
     listening: socket.socket
     bans: list[str]
+    ban_versions: dict[str, int]
     state: bytes
 
 
@@ -88,7 +92,7 @@
             sock.sendall(msgspec.json.encode(hello) + b"\n")
             header, state = receive_handover(sock, fds, limits)
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fds.pop())
-        return Predecessor(sock, listening, header.bans, state)
+        return Predecessor(sock, listening, header.bans, header.ban_versions, state)
     except (FileNotFoundError, ConnectionRefusedError):
         sock.close()  # no process serves: an ordinary start
     except (OSError, ValueError, msgspec.MsgspecError) as error:
@@ -144,6 +148,7 @@
         self.predecessor: Predecessor | None = None
         self.predecessor_link: Link | None = None
         hosts.on_ban_changed = self.record_ban
+        self.untold_bans: dict[str, BanChanged] = {}  # the last change of each host that links wait for
         self.successor: Link | None = None  # the process that has taken over
         self.broker = broker
         self.session_heir: Link | None = None  # the process that gets the session at the broker
@@ -166,14 +171,27 @@
             self.log("bans-damaged", f"{self.ban_file.path}: {error}")
             return None, []
 
-    def record_ban(self, id: str, on: bool) -> None:
-        """Write the ban to the file and send it to the other process, before the operator gets the answer."""
+    def ban_versions(self) -> dict[str, int]:
+        """Return the versions of bans that the predecessor handed over."""
+        return {} if self.predecessor is None else self.predecessor.ban_versions
+
+    def record_ban(self, change: BanChanged) -> None:
+        """Write the ban to the file and have it told to the others, before the operator gets the answer."""
         try:
             self.ban_file.write(self.hosts.bans())
         except OSError as error:
             # on a full disk the ban still applies, and a successor receives it over the link
             self.log("bans-not-kept", f"{self.ban_file.path}: {error}")
-        self.try_send(LocalBanChange(id, on))
+        self.untold_bans[change.id] = change
+        self.try_send(BansChanged())  # if the mailbox is full, they are told after one of its messages
+
+    def tell_bans(self) -> None:
+        """Send changes of bans over all links but the one that they came from."""
+        while self.untold_bans:
+            _, change = self.untold_bans.popitem()
+            line = BanChange(change.id, change.banned, change.version)
+            for link in [each for each in self.links if each is not change.source]:
+                self.send(link, line)
 
     def restore_state(self) -> None:
         """Give the predecessor's learned state to the router, before this process serves."""
@@ -287,11 +305,9 @@
                 self.front.blocking_send(ConnectionAccepted(sock, name, served_before=True))
             case ClientReleased(sock, name):
                 self.transfer_client(sock, name)
-            case PeerMessageReceived(_, BanChange(id, on)):
-                self.hosts.blocking_send(Ban(id, on, AsyncResult(), from_peer=True))
-            case LocalBanChange(id, on):
-                for link in self.links:
-                    self.send(link, BanChange(id, on))
+            case PeerMessageReceived(link, BanChange(id, on, version)):
+                ban = Ban(id, on, AsyncResult(), from_peer=True, version=version, source=link)
+                self.hosts.blocking_send(ban)
             case PeerMessageReceived(_, SessionAnswers(answers)) if self.broker is not None:
                 self.broker.adopt_answers(answers)
             case PeerMessageReceived(_, SessionReleased(unconfirmed, complete)) if self.broker is not None:
@@ -300,6 +316,7 @@
                 self.send_session(link, session)
             case LinkLost(link):
                 self.on_link_lost(link)
+        self.tell_bans()
 
     def yield_to(self, link: Link) -> None:
         """Leave what only one process can have to the process that now serves."""
@@ -350,8 +367,8 @@
                 self.log("takeover-forgot", "the module was too busy to provide its learned state")
         self.links.append(link)
         try:
-            header = msgspec.json.encode(HandoverHeader(len(state), self.hosts.bans())) + b"\n"
-            link.send_with_descriptor(header + state, listening.fileno())
+            header = HandoverHeader(len(state), self.hosts.bans(), self.hosts.ban_table.versions)
+            link.send_with_descriptor(msgspec.json.encode(header) + b"\n" + state, listening.fileno())
         except OSError as error:
             self.log("upgrade-link", str(error))
 
--- a/harrieryoke/upgrade/messages.py
+++ b/harrieryoke/upgrade/messages.py
@@ -26,10 +26,14 @@
 
 
 class BanChange(msgspec.Struct, tag="ban"):
-    """An operator of the sending process drained a host, or put it back."""
+    """An operator drained a host, or put it back.
+
+    `version` is that of `BanChanged`; older processes give none.
+    """
 
     id: str
     on: bool
+    version: int = 0
 
 
 class ClientTransfer(msgspec.Struct, tag="client"):
@@ -39,10 +43,14 @@
 
 
 class HandoverHeader(msgspec.Struct, tag="handed"):
-    """The first line to a new process; `size` bytes of learned state follow."""
+    """The first line to a new process; `size` bytes of learned state follow.
+
+    `ban_versions` are those of the last change of each host, also of lifted bans.
+    """
 
     size: int
     bans: list[str]
+    ban_versions: dict[str, int] = {}
 
 
 class SessionAnswers(msgspec.Struct, tag="session-answers"):
@@ -105,8 +113,5 @@
     link: Link
 
 
-class LocalBanChange(msgspec.Struct):
-    """An operator of this process changed a ban; the other process is to be told."""
-
-    id: str
-    on: bool
+class BansChanged(msgspec.Struct):
+    """Changes of bans wait to be told to the other processes."""
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -26,6 +26,7 @@
 from harrieryoke.errors import Busy
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
+from harrieryoke.net.bans import BanChanged
 from harrieryoke.net.hostlist import (
     STATUS_BY_STATE,
     Ban,
@@ -82,9 +83,16 @@
         self.module_entries: dict[int, i.WorkerEntry] = {}  # the module's view
         self.stored: set[str] = set()  # the bans that the next process would read
         self.actor = create_list(self.received)
-        self.actor.on_ban_changed = lambda id, on: self.stored.add(id) if on else self.stored.discard(id)
+        self.actor.on_ban_changed = self.store
         self.offset = self.events = 0
 
+    def store(self, change: BanChanged) -> None:
+        """Write a change as the next process would read it."""
+        if change.banned:
+            self.stored.add(change.id)
+        else:
+            self.stored.discard(change.id)
+
     def expected_status(self, id: str) -> i.WorkerStatus:
         listed = STATUS_BY_STATE[self.listed_servers[id].state]
         return i.WorkerStatus.DRAINING if id in self.banned and listed is i.WorkerStatus.UP else listed
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -265,6 +265,26 @@
     assert relays.audit()["lost"] == 0 or killed
 
 
+def test_calls_in_quick_succession_leave_a_host_out_in_both_processes(relays: Relays) -> None:
+    """Guards against a change that comes back from the other process and undoes a later one."""
+    load, old_address, old = start_load(relays, 6.0), relays.manage, relays.process
+    gevent.sleep(1.0)
+    relays.start_next()
+    banned_at = dict[str, float]()
+    for host in relays.hosts[:3]:
+        for operation in ("disable-server", "enable-server") * 2 + ("disable-server",):
+            assert relays.send_operation(f"{operation} {host.name}", old_address).startswith("done")
+        banned_at[host.name] = now_ms()
+    gevent.sleep(2.0)
+    assert terminate(old)[0] == 0
+    assert "invoker_pool_ejected 3" in relays.send_operation("show-stat")
+    load.join()
+    assert {name: count_late_sends(relays, name, at) for name, at in banned_at.items()} == dict.fromkeys(
+        banned_at, 0
+    )
+    assert relays.log_text().count(" unbanned ") <= 2 * 2 * 3
+
+
 def test_a_stale_socket_of_a_dead_process_does_not_block_a_start(relays: Relays) -> None:
     relays.process.kill()
     relays.process.wait()
