MQTT: redeliveries may be an earlier process's until the broker has delivered all again

Cause: session_predates_process held only for the first connection of a process. What had not come again when that ended came on the second one and counted as new.

Change: redeliveries that this process does not know count as an earlier one's on all connections up to the first on which the broker has answered a ping; by then all have come.

--- a/harrieryoke/mqtt/deliveries.py
+++ b/harrieryoke/mqtt/deliveries.py
@@ -5,6 +5,9 @@
 belong to an answered message whose acknowledgement was lost, or to a new one that was lost on its way. An
 answered message is therefore kept only until the broker is known to have its acknowledgement: until it has
 answered a ping that was sent later on the same connection.
+
+A session may be older than the process. What an earlier process took comes again at the first connection, or
+at a later one if that is lost early. All of it has come once the broker has answered a ping.
 """
 
 from __future__ import annotations
@@ -43,11 +46,49 @@
         self.open: dict[int, ReceivedTrigger] = {}
         self.answered: dict[int, AnsweredDelivery] = {}
         self.acknowledgements = 0  # written so far
-
-    def clear(self) -> None:
-        """Forget all messages: the session at the broker is a new one."""
+        # the connection by which all that an earlier process may have taken has come again; None: not yet
+        self.complete_by: int | None = None
+        self.has_left_predating = (
+            False  # a message that an earlier process may have taken was left to a successor
+        )
+
+    def begin_session(self) -> None:
+        """The session at the broker is a new one, which numbers its messages from the start."""
         self.open.clear()
         self.answered.clear()
+        self.complete_by, self.has_left_predating = PREDECESSOR_CONNECTION, False
+
+    def leave_session(self) -> None:
+        """Another process has the session from now on."""
+        self.begin_session()
+        self.complete_by = None
+
+    def adopt_session(self, messages: list[AnsweredMessage], complete: bool) -> None:
+        """The session was a predecessor's, which answered these messages, and all it took if `complete`."""
+        for each in messages:
+            self.answered[each.message_id] = AnsweredDelivery(each.identity, PREDECESSOR_CONNECTION)
+        self.complete_by = PREDECESSOR_CONNECTION if complete else None
+
+    def may_predate(self, message: Message, connection: int) -> bool:
+        """Return whether an earlier process may have taken a message that this one does not know."""
+        return message.dup and (self.complete_by is None or connection <= self.complete_by)
+
+    def leave(self, message: Message, connection: int) -> None:
+        """Leave a message that this process does not know to its successor."""
+        self.has_left_predating = self.has_left_predating or self.may_predate(message, connection)
+
+    def resume(self) -> None:
+        """There is no successor any more: what was left to it comes again at the next connection."""
+        if self.has_left_predating:
+            self.complete_by, self.has_left_predating = None, False
+
+    def is_complete(self) -> bool:
+        """Return whether a successor may take all that it is not told of for new."""
+        return self.complete_by is not None and not self.has_left_predating
+
+    def needs_ping(self) -> bool:
+        """Return whether the answer to a ping would tell something."""
+        return bool(self.answered) or self.complete_by is None
 
     def take(self, trigger: ReceivedTrigger) -> None:
         """Record a new message. Its identifier belongs to no earlier message any more."""
@@ -85,6 +126,8 @@
 
         Messages that it did not deliver again on this connection have been acknowledged before.
         """
+        if self.complete_by is None:
+            self.complete_by = connection
         for message_id, answered in list(self.answered.items()):
             number = answered.acknowledgement
             written_before = number is not None and number <= acknowledgements
@@ -94,8 +137,3 @@
     def export_unconfirmed(self) -> list[AnsweredMessage]:
         """Return the answered messages that the broker may deliver again to a successor."""
         return [AnsweredMessage(message_id, a.identity) for message_id, a in self.answered.items()]
-
-    def adopt_unconfirmed(self, messages: list[AnsweredMessage]) -> None:
-        """Record messages that the predecessor answered."""
-        for each in messages:
-            self.answered[each.message_id] = AnsweredDelivery(each.identity, PREDECESSOR_CONNECTION)
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -113,9 +113,6 @@
         self.calls: dict[Call, ReceivedTrigger] = {}
         self.unconfirmed_outcomes: set[int] = set()  # message ids
         self.ownership = Ownership.OWNED
-        # whether every message that an earlier process may have taken is in `deliveries`
-        self.history_known = False
-        self.session_predates_process = False  # the broker kept it from a process whose history is not known
         self.release_reply: Callable[[BrokerSession], object] | None = None
         self.stopping = False
         self.counts = dict.fromkeys(
@@ -204,17 +201,14 @@
         kind = "kept" if session_present else "new"
         host, port = self.connection.address
         self.log("broker-connected", f"{host}:{port}, {kind} session")
-        self.session_predates_process = session_present and not self.history_known
-        self.history_known = True
         if not session_present:
-            # A new session numbers its messages from the start.
-            self.deliveries.clear()
+            self.deliveries.begin_session()
         self.connected, self.ping = connection, None
 
     def confirm_acknowledgements(self) -> None:
-        """Ping the broker if it may lack an acknowledgement, one ping at a time."""
+        """Ping the broker if it may lack an acknowledgement, or have more to deliver again; one at a time."""
         is_open = self.connected == self.connection.number
-        if self.deliveries.answered and self.ping is None and is_open and not self.mailbox:
+        if self.deliveries.needs_ping() and self.ping is None and is_open and not self.mailbox:
             self.ping = PingInFlight(self.connection.ping(), self.deliveries.acknowledgements)
 
     def handle_ping_answered(self, number: int, connection: int) -> None:
@@ -235,6 +229,7 @@
             self.connection.delivery_credits.release()
         elif self.is_draining():
             # unacknowledged: the broker delivers it in the next connection
+            self.deliveries.leave(message, connection)
             self.connection.delivery_credits.release()
         elif message.retain:
             # A retained message would cause a call at every new subscription.
@@ -263,7 +258,8 @@
             self.key_cache.begin(trigger.key, now_ms(), trigger)
         self.calls[call] = trigger
         settings = self.reader.maker.settings.classes[call.class_index]
-        if message.dup and self.session_predates_process and settings.effect is not i.Effect.SAFE:
+        predates = self.deliveries.may_predate(message, trigger.connection)
+        if predates and settings.effect is not i.Effect.SAFE:
             # An earlier process may have made this call, and the rack's deduplication window may have passed.
             return self.handle_answer(
                 call, FinalAnswer("failed", reason="delivered before this start: it may have run")
@@ -354,8 +350,7 @@
             case AnswersAdopted(answers):
                 self.adopt_kept_answers(answers)
             case SessionAdopted(session) if self.ownership is Ownership.AWAITED:
-                self.deliveries.adopt_unconfirmed(session.unconfirmed)
-                self.history_known = session.complete
+                self.deliveries.adopt_session(session.unconfirmed, session.complete)
                 self.own_session()
             case PredecessorLost() if self.ownership is Ownership.AWAITED:
                 self.own_session()
@@ -363,6 +358,7 @@
                 self.release_reply = reply
             case SuccessorLost() if self.release_reply is not None:
                 self.release_reply = None
+                self.deliveries.resume()
                 if not self.stopping:
                     self.connection.drop()  # messages that were left to the successor come again
             case SuccessorLost() if self.ownership is Ownership.RELEASED:
@@ -390,8 +386,8 @@
             KeptAnswer(key, kept.outcome, kept.body, kept.reason, kept.retry_after, now - updated_at)
             for key, updated_at, kept in self.key_cache.answers()
         ]
-        complete = self.history_known and not self.session_predates_process
-        return BrokerSession(answers, self.deliveries.export_unconfirmed(), complete)
+        unconfirmed, complete = self.deliveries.export_unconfirmed(), self.deliveries.is_complete()
+        return BrokerSession(answers, unconfirmed, complete)
 
     def leave_session(self) -> None:
         """Disconnect; pass the session to the successor if one waits for it."""
@@ -405,6 +401,6 @@
             return
         session = self.export_session()
         self.log("broker-released", "the session at the broker goes to the process that has taken over")
-        self.ownership, self.history_known = Ownership.RELEASED, False
-        self.deliveries.clear()
+        self.ownership = Ownership.RELEASED
+        self.deliveries.leave_session()
         reply(session)
--- a/tests/test_deliveries.py
+++ b/tests/test_deliveries.py
@@ -139,3 +139,37 @@
         broker.send(arrives=True)
         broker.answer(ack_arrives=True)
     assert not subscriber.log.open and not subscriber.log.answered
+
+
+def redelivery(message_id: int) -> Message:
+    return Message("t", PAYLOAD, message_id, 1, dup=True)
+
+
+def test_redeliveries_may_be_an_earlier_process_s_until_the_broker_has_answered_a_ping() -> None:
+    """Guards against keys that run twice after a restart whose first connections break off."""
+    log = DeliveryLog()
+    assert log.needs_ping() and not log.is_complete()
+    assert log.may_predate(redelivery(1), 1) and log.may_predate(redelivery(1), 3)
+    log.confirm(3, 0)
+    assert log.may_predate(redelivery(1), 3) and not log.may_predate(redelivery(1), 4)
+    assert not log.may_predate(Message("t", PAYLOAD, 1, 1, dup=False), 3) and log.is_complete()
+
+
+def test_a_successor_is_told_if_a_message_of_an_earlier_process_was_left_to_it() -> None:
+    log = DeliveryLog()
+    log.confirm(1, 0)
+    log.leave(redelivery(1), 1)
+    assert not log.is_complete()
+    log.resume()
+    assert log.may_predate(redelivery(1), 2)
+
+
+@pytest.mark.parametrize("complete", [True, False])
+def test_after_a_handover_only_what_the_predecessor_did_not_know_may_predate(complete: bool) -> None:
+    log = DeliveryLog()
+    log.adopt_session([], complete)
+    assert log.may_predate(redelivery(1), 1) != complete
+    log.leave_session()
+    assert log.may_predate(redelivery(1), 2)
+    log.begin_session()
+    assert not log.may_predate(redelivery(1), 2)
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -13,7 +13,7 @@
 from harrieryoke.mqtt.memory import FinalAnswer, KeyCache
 from harrieryoke.net import frames
 
-from .broker import Broker, Publication, until
+from .broker import CONNECT, Broker, Publication, until
 from .scenario import FUNCTION, ROOT, SETTINGS, Scene, run
 
 TEMPLATE = re.sub(r'"127.0.0.1:1883"', '"BROKER"', (ROOT / "deploy" / "operator.toml").read_text())
@@ -136,6 +136,17 @@
         expect broker acked 1
         send broker {HARVEST} '{{"reading":"r2"}}'
         expect h1 request op=r2""",
+    "delivered to an earlier process: what is lost later, on a connection of this one, is called": f"""
+        send broker {HARVEST} {READING} out=1
+        expect broker failed
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2
+        send h1 ok body=first
+        expect broker served body=first
+        expect broker acked 2
+        send broker {HARVEST} '{{"reading":"r3"}}' lost=1
+        expect broker redelivered 2
+        expect h1 request op=r3""",
     "delivered to an earlier process: a repeatable trigger is called": f"""
         send broker {WEIGHT} 41 out=1
         expect h1 request body=41""",
@@ -172,6 +183,33 @@
     run(tmp_path, text, operator=operator, broker=Broker(version))
 
 
+class ResettingBroker(Broker):
+    """Loses the first connections right after it has accepted them."""
+
+    losses = 2
+
+    def handle(self, kind: int, flags: int, body: bytes) -> None:
+        super().handle(kind, flags, body)
+        if kind == CONNECT and self.losses:
+            self.losses -= 1
+            self.drop()
+
+
+@pytest.mark.parametrize("version", ["5", "3.1.1"])
+def test_a_process_whose_first_connections_are_lost_takes_no_redelivered_key_for_a_new_one(
+    version: str, tmp_path: Path
+) -> None:
+    """Guards against a key that runs twice after a kill, where only the first connection counted."""
+    text = f"""
+        send broker {HARVEST} {READING} out=1
+        expect broker failed
+        expect broker acked 1
+        send broker {HARVEST} '{{"reading":"r2"}}'
+        expect h1 request op=r2"""
+    operator = TEMPLATE.replace('version = "5"', f'version = "{version}"')
+    run(tmp_path, text, operator=operator, broker=ResettingBroker(version))
+
+
 @pytest.mark.parametrize("window", [6000, 1])
 def test_a_repeated_key_gets_the_same_answer_without_a_call_within_and_after_the_window(
     window: int, tmp_path: Path
