--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -25,7 +25,7 @@
 from harrieryoke.router import Router
 from harrieryoke.state_transfer import StateTransferError, pack, restore, shift_times, unpack
 from harrieryoke.upgrade.bans import BanFile, BansError
-from harrieryoke.upgrade.link import short_socket_path
+from harrieryoke.upgrade.handover import short_socket_path
 
 from .faults.shim import FaultShim
 from .rig import SETTINGS, Rig, workers
