MQTT: take nothing that arrives while the session is left, and end a process that left it

A process that had adopted a session and never connected waited for confirmations that could not come, and one whose successor ended in that moment stayed without a connection.

Change: the connection is left first, and the session is passed on by a message that the actor posts after it, so that all that was delivered before is handled as left to the successor. The connection's greenlet looks again whether it is allowed after its wait.

--- a/harrieryoke/mqtt/connection.py
+++ b/harrieryoke/mqtt/connection.py
@@ -178,11 +178,9 @@
         self.idle.wait()  # a connection attempt may be under way
 
     def end(self) -> None:
-        """Leave for good."""
+        """End the greenlet, after the connection was left."""
         self.ended = True
-        self.allowed.set()  # the greenlet may wait for it
-        self.flush()
-        self.client.disconnect()
+        self.allowed.set()  # the greenlet waits for it
 
     # --- the greenlet ---
 
@@ -195,9 +193,11 @@
         while True:
             self.idle.set()
             self.allowed.wait()
-            self.idle.clear()
             if self.ended:
                 return
+            if not self.allowed.is_set():
+                continue  # it was left again before this greenlet ran
+            self.idle.clear()
             self.number += 1
             self.client.restart_count()
             try:
--- a/harrieryoke/mqtt/front.py
+++ b/harrieryoke/mqtt/front.py
@@ -80,6 +80,10 @@
     """The process that the session was released to has ended, or will not take it."""
 
 
+class ConnectionLeft:
+    """The connection was left; all that it had delivered came before this message."""
+
+
 class StopRequested:
     """Take no more messages, answer those that were taken, and disconnect."""
 
@@ -114,6 +118,7 @@
         self.unconfirmed_outcomes: set[int] = set()  # message ids
         self.ownership = Ownership.OWNED
         self.release_reply: Callable[[BrokerSession], object] | None = None
+        self.has_left = False  # the connection was left, and `ConnectionLeft` is still to come
         self.stopping = False
         self.counts = dict.fromkeys(
             ("taken", "served", "refused", "failed", "malformed", "redelivered", "joined", "retained"), 0
@@ -193,11 +198,13 @@
             case _:
                 self.change_ownership(message)
         self.confirm_acknowledgements()
-        if self.is_draining() and self.is_drained():
-            self.leave_session()
+        if self.is_draining() and self.is_drained() and not self.has_left:
+            self.leave_connection()
 
     def handle_connected(self, connection: int, session_present: bool) -> None:
-        """Begin a connection."""
+        """Begin a connection, unless it was left before this was handled."""
+        if self.ownership is not Ownership.OWNED:
+            return
         kind = "kept" if session_present else "new"
         host, port = self.connection.address
         self.log("broker-connected", f"{host}:{port}, {kind} session")
@@ -207,7 +214,7 @@
 
     def confirm_acknowledgements(self) -> None:
         """Ping the broker if it may lack an acknowledgement, or have more to deliver again; one at a time."""
-        is_open = self.connected == self.connection.number
+        is_open = self.connection.allowed.is_set() and self.connected == self.connection.number
         if self.deliveries.needs_ping() and self.ping is None and is_open and not self.mailbox:
             self.ping = PingInFlight(self.connection.ping(), self.deliveries.acknowledgements)
 
@@ -227,7 +234,7 @@
             if isinstance(earlier, AnsweredDelivery):
                 self.acknowledge(message, connection)
             self.connection.delivery_credits.release()
-        elif self.is_draining():
+        elif self.is_draining() or self.ownership is not Ownership.OWNED:
             # unacknowledged: the broker delivers it in the next connection
             self.deliveries.leave(message, connection)
             self.connection.delivery_credits.release()
@@ -342,7 +349,8 @@
         if self.ownership is Ownership.AWAITED and not self.stopping:
             return False
         unconfirmed = self.unconfirmed_outcomes or self.deliveries.answered
-        return not self.calls and not unconfirmed and not self.mailbox
+        is_confirmed = not unconfirmed or not self.connection.allowed.is_set()
+        return is_confirmed and not self.calls and not self.mailbox
 
     def change_ownership(self, message: Any) -> None:
         """Handle a message about the session's owner, or the request to stop."""
@@ -359,12 +367,13 @@
             case SuccessorLost() if self.release_reply is not None:
                 self.release_reply = None
                 self.deliveries.resume()
-                if not self.stopping:
-                    self.connection.drop()  # messages that were left to the successor come again
+                self.connect_again()
             case SuccessorLost() if self.ownership is Ownership.RELEASED:
                 self.own_session()
             case StopRequested():
                 self.stopping = True
+            case ConnectionLeft() if self.has_left:
+                self.leave_session()
 
     def own_session(self) -> None:
         """Connect, unless a successor already waits for the session."""
@@ -372,6 +381,16 @@
         if not self.is_draining():
             self.connection.allowed.set()
 
+    def connect_again(self) -> None:
+        """Have the messages that were left to a successor delivered again."""
+        if self.stopping:
+            return
+        if self.has_left:
+            self.has_left = False
+            self.connection.allowed.set()
+        else:
+            self.connection.drop()
+
     def adopt_kept_answers(self, answers: list[KeptAnswer]) -> None:
         """Remember the answers that the predecessor gave."""
         now = now_ms()
@@ -389,13 +408,18 @@
         unconfirmed, complete = self.deliveries.export_unconfirmed(), self.deliveries.is_complete()
         return BrokerSession(answers, unconfirmed, complete)
 
+    def leave_connection(self) -> None:
+        """Disconnect. What was delivered until then is in the mailbox ahead of `ConnectionLeft`."""
+        self.has_left = True
+        self.connection.leave()
+        self.try_send(ConnectionLeft())
+
     def leave_session(self) -> None:
-        """Disconnect; pass the session to the successor if one waits for it."""
+        """Pass the session to the successor if one waits for it, after the connection was left."""
+        self.has_left = False
         if self.stopping:
             self.finished = True
             self.connection.end()
-        else:
-            self.connection.leave()
         reply, self.release_reply = self.release_reply, None
         if reply is None:
             return
