Tests: a scene begins with an empty log, also in the folder of an earlier one

Cause: a scene that can be upgraded appends to its log, as two processes write there. A second scene in the same folder then found the 'started' of the first one and did not wait for its own process.

Change: the log is emptied before the first process of a scene starts.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -220,6 +220,7 @@
             operator_text = operator.replace("BROKER", self.broker.address())
             (folder / "operator.toml").write_text(operator_text)
             self.command += ["--operator", str(folder / "operator.toml")]
+        (folder / "log").write_text("")  # an earlier scene of the test may have had the folder
         self.process = self.launch(env)
         self.predecessors: list[subprocess.Popen[bytes]] = []
         self.log_position, self.bodies = 0, dict[str, str]()
