--- a/review/world2.py
+++ b/review/world2.py
@@ -541,6 +541,8 @@
         """Send calls of random functions at an even pace."""
         until = now() + for_s
         while now() < until:
+            if client.ended:
+                raise NotRunError("the client's connection has ended")
             client.send(klass, random.choice(functions))
             await asyncio.sleep(1 / per_s)
 
