--- a/review/collector2.py
+++ b/review/collector2.py
@@ -24,6 +24,7 @@
                 "call": e.call,
                 "outcome": e.outcome,
                 "calls": e.calls,
+                "corrects": e.corrects,
                 "period": e.period,
             }
             for e in collector.entries()
