--- a/review/world2.py
+++ b/review/world2.py
@@ -572,6 +572,9 @@
 
     async def whole() -> int:
         world = World(Path(folder).resolve().parent, settings)
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await world.bus.listen()
             breaks = await asyncio.wait_for(case(world), 100.0)
@@ -581,7 +584,7 @@
             world.record(f"{len(breaks)} breaks")
             print(f"{len(breaks)} breaks, {len(world.calls)} calls, trouble {world.trouble}")
             return BROKEN if breaks else HELD
-        except (NotRunError, OSError, TimeoutError, AssertionError) as error:
+        except (NotRunError, OSError, TimeoutError, AssertionError, asyncio.CancelledError) as error:
             world.record(f"not run: {error!r}")
             print(f"not run: {error!r}")
             return NOT_RUN
