Keep keyed repeats where their key is known when a host is replaced at its address

Cause: WorkerChanges.mark_gone told the router of the replaced host with the default place (cell 0, zone 0), and on_attempt_ended took the host's entry as of the attempt's end, which is always after that, for the place of its key. Ruled out: the attempt not counted as perhaps run (the line says it), window (1.1 of 6 s), any other end of a link to a host that is gone (a whole list without it keeps its cell). Change: an attempt records the worker's entry as of its sending, and repeats are held against that. The list tells of a replaced host with its place, and the router keeps the known place of one that has gone (ejections by zone). test_upgrade.py and test_fleet.py unpack the record with a field more; their assertions are as they were.

--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic_ns
 
 from gevent.event import AsyncResult
@@ -78,18 +78,22 @@
 
     def add(self, entry: i.WorkerEntry, server: Server, actor: HostActor | None) -> None:
         """Add a host as listed, without an actor if it is gone."""
-        self.mark_gone(entry.worker)
+        self.forget(entry.worker)
         self.entries[entry.worker] = entry
         self.names[entry.worker] = HostName(server.id, server.zone, server.kind, server.state)
         if actor is not None:
             self.ports[entry.worker] = actor
 
-    def mark_gone(self, worker: int) -> None:
-        """Record that a host was replaced; the bus may report that later, or never."""
+    def add_replaced(self, entry: i.WorkerEntry) -> None:
+        """Add a host that was replaced; the bus may report that later, or never."""
+        self.forget(entry.worker)
+        self.entries[entry.worker] = replace(entry, status=i.WorkerStatus.GONE)
+
+    def forget(self, worker: int) -> None:
+        """Drop what was added of a host."""
         self.ports.pop(worker, None)
         self.names.pop(worker, None)
         self.entries.pop(worker, None)
-        self.entries[worker] = i.WorkerEntry(worker, status=i.WorkerStatus.GONE)
 
 
 class HostListActor(Actor):
@@ -283,20 +287,20 @@
         status = STATUS_BY_STATE[server.state]
         if server.id in self.banned and status is i.WorkerStatus.UP:
             status = i.WorkerStatus.DRAINING
+        start = self.host_starts.observe(server)
+        return replace(
+            self.placed_entry(server),
+            status=status,
+            started=None if start is None else start.started_at,
+            start_stamp=None if start is None else start.listed_start,
+        )
+
+    def placed_entry(self, server: Server) -> i.WorkerEntry:
+        """Return the module's entry of a host without its start: its number, place and capacity."""
         zones, kinds = self.settings.zones, self.settings.kinds
         zone = zones.index(server.zone) if server.zone in zones else 0
         kind = kinds.index(server.kind) if server.kind in kinds else 0
-        start = self.host_starts.observe(server)
-        return i.WorkerEntry(
-            worker_number(server.id),
-            zone,
-            kind,
-            server.cell,
-            status,
-            server.weight,
-            None if start is None else start.started_at,
-            None if start is None else start.listed_start,
-        )
+        return i.WorkerEntry(worker_number(server.id), zone, kind, server.cell, capacity=server.weight)
 
     def remove_previous_host(self, server: Server, changes: WorkerChanges) -> None:
         """Remove any other host at the server's address: the address belongs to this server now."""
@@ -306,7 +310,7 @@
                 status.replaced = True
                 self.host_starts.forget(id)
                 self.remove_host(id, immediately=True)
-                changes.mark_gone(worker_number(id))
+                changes.add_replaced(self.placed_entry(self.servers[id]))
 
     def ensure_host(self, server: Server, listed_status: i.WorkerStatus) -> HostActor:
         """Return the actor of a listed host; start a new one if its address has changed."""
--- a/harrieryoke/repeat_rules.py
+++ b/harrieryoke/repeat_rules.py
@@ -3,21 +3,31 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from .interface import DeduplicationScope, Effect, RequestClass, WorkerEntry
 
 
+class PossibleRun(NamedTuple):
+    """An attempt that may have executed: when it was sent, and the worker's entry as of then.
+
+    The worker may have left the list since, or be listed elsewhere; where it knows keys does not change.
+    """
+
+    worker: WorkerEntry
+    sent_at: float
+
+
 def may_repeat(
     request_class: RequestClass,
-    possible_runs: Sequence[tuple[WorkerEntry, float]],
+    possible_runs: Sequence[PossibleRun],
     worker: WorkerEntry,
     now: float,
     tick: float,
 ) -> bool:
     """Whether another attempt may go to the worker.
 
-    `possible_runs` names the workers where earlier attempts may have executed, and when they were sent. A
-    keyed class is repeated within its window, less a tick, and within its deduplication scope. Times are
+    A keyed class is repeated within its window, less a tick, and within its deduplication scope. Times are
     milliseconds.
     """
     if request_class.effect is Effect.SAFE or not possible_runs:
@@ -25,9 +35,9 @@
     if request_class.effect is not Effect.KEYED:
         return False
     return all(
-        now - sent_at < request_class.repeat_window - tick
-        and _in_same_scope(request_class.deduplication_scope, earlier_worker, worker)
-        for earlier_worker, sent_at in possible_runs
+        now - run.sent_at < request_class.repeat_window - tick
+        and _in_same_scope(request_class.deduplication_scope, run.worker, worker)
+        for run in possible_runs
     )
 
 
@@ -40,7 +50,7 @@
     return True
 
 
-def may_refuse(request_class: RequestClass, possible_runs: Sequence[tuple[WorkerEntry, float]]) -> bool:
+def may_refuse(request_class: RequestClass, possible_runs: Sequence[PossibleRun]) -> bool:
     """Whether the request may be refused, which tells the client that a repeat is safe."""
     keyed_everywhere = (
         request_class.effect is Effect.KEYED and request_class.deduplication_scope is DeduplicationScope.ALL
--- a/harrieryoke/router.py
+++ b/harrieryoke/router.py
@@ -32,7 +32,7 @@
     WorkersListed,
 )
 from .load_limit import LATENCY_WEIGHT, OVERLOADED_RATIO, adapt_limit
-from .repeat_rules import may_refuse, may_repeat
+from .repeat_rules import PossibleRun, may_refuse, may_repeat
 from .state import Function, PossibleRestart, Request, TokenBucket, Worker, digest
 
 NOT_EXECUTED = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
@@ -318,14 +318,14 @@
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         """Learns from the outcome, then closes, retries or rejects the request."""
-        if (record := self.release_attempt(event.request, event.attempt)) is None:
+        if (attempt := self.release_attempt(event.request, event.attempt)) is None:
             return
-        worker, function, sent_at = record
+        worker, function, sent_at, entry = attempt
         self.functions_to_dispatch[function.name] = function
         request = self.requests.get(event.request)
         self.learn_from_attempt(event, worker, function, request, sent_at)
         if request and event.outcome not in NOT_EXECUTED:
-            request.possible_runs.append((worker.entry, sent_at))
+            request.possible_runs.append(PossibleRun(entry, sent_at))
         if event.finished:
             self.close_request(event)
         elif request and not request.in_flight:
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -9,10 +9,11 @@
 from hashlib import blake2b
 from heapq import heappop, heappush
 from math import inf
-from typing import Any
+from typing import Any, NamedTuple
 
 from .hold_off import HoldOff
 from .interface import Action, RequestArrived, RequestClass, SetTimer, WorkerEntry, WorkerStatus
+from .repeat_rules import PossibleRun
 from .work_lease import ListAge, WorkLease
 
 NEVER = -1e18  # a time before all others
@@ -105,6 +106,10 @@
     # own attempts -> time of sending, oldest first
     in_flight: dict[tuple[int, int], float] = field(default_factory=dict)
 
+    def at_same_place(self, entry: WorkerEntry) -> WorkerEntry:
+        """The entry with the place that is known: the news that a worker has gone need not name its place."""
+        return replace(entry, zone=self.entry.zone, kind=self.entry.kind, cell=self.entry.cell)
+
     def is_known_start(self, entry: WorkerEntry) -> bool:
         """Whether a new list entry refers to the start that is already known."""
         stamp = entry.start_stamp
@@ -148,11 +153,19 @@
     max_attempts: int
     attempt_count: int = 0
     in_flight: dict[int, int] = field(default_factory=dict)  # attempt -> worker
-    # workers that may have executed it, and when it was sent there
-    possible_runs: list[tuple[WorkerEntry, float]] = field(default_factory=list)
+    possible_runs: list[PossibleRun] = field(default_factory=list)
     done: bool = False
 
 
+class Attempt(NamedTuple):
+    """An attempt in progress; `entry` is the worker's entry in the list when it was sent."""
+
+    worker: Worker
+    function: Function
+    sent_at: float
+    entry: WorkerEntry
+
+
 class RoutingState:
     """State of one front end; empty at start."""
 
@@ -172,7 +185,7 @@
         self.workers: dict[int, Worker] = {}
         self.functions: dict[str, Function] = {}
         self.requests: dict[int, Request] = {}
-        self.attempts: dict[tuple[int, int], tuple[Worker, Function, float]] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
         self.scheduled: list[tuple[float, int, Callable[[Any], None], Any]] = []  # heap
         self.functions_to_dispatch: dict[str, Function] = {}
         self.order_times: deque[float] = deque()
@@ -253,21 +266,20 @@
         """Counts a new attempt and returns its key."""
         key, worker_id = (request.event.request, request.attempt_count), worker.entry.worker
         worker.in_flight[key] = self.now
-        self.attempts[key] = (worker, function, self.now)
+        self.attempts[key] = Attempt(worker, function, self.now, worker.entry)
         request.in_flight[request.attempt_count] = worker_id
         function.own_in_flight[worker_id] = function.own_in_flight.get(worker_id, 0) + 1
         request.attempt_count += 1
         return key
 
-    def release_attempt(self, request_id: int, attempt: int) -> tuple[Worker, Function, float] | None:
+    def release_attempt(self, request_id: int, number: int) -> Attempt | None:
         """Stops counting an attempt that has ended; returns where and when it was sent."""
-        if record := self.attempts.pop((request_id, attempt), None):
-            worker, function, _ = record
-            worker.in_flight.pop((request_id, attempt), None)
-            function.own_in_flight[worker.entry.worker] -= 1
+        if attempt := self.attempts.pop((request_id, number), None):
+            attempt.worker.in_flight.pop((request_id, number), None)
+            attempt.function.own_in_flight[attempt.entry.worker] -= 1
             if request := self.requests.get(request_id):
-                request.in_flight.pop(attempt, None)
-        return record
+                request.in_flight.pop(number, None)
+        return attempt
 
     def schedule(self, delay: float, action: Callable[[Any], None], argument: Any) -> None:
         """Schedules a call of `action`, in whole microseconds, so that no timer fires slightly early."""
--- a/harrieryoke/worker_health.py
+++ b/harrieryoke/worker_health.py
@@ -59,6 +59,8 @@
             initial_load = WorkerLoad(OVERLOADED_RATIO / 2, attempt_limit)
             new_worker = Worker(entry, NEVER, digest(str(entry.worker)), initial_load)
             worker = self.workers.setdefault(entry.worker, new_worker)
+            if entry.status is WorkerStatus.GONE:
+                entry = worker.at_same_place(entry)
             if started > worker.started and not worker.is_known_start(entry):
                 self.reinstate(worker)
                 self.start_cold(worker, started)
@@ -228,7 +230,7 @@
         """Suspects the attempt's class at its worker; ejects the worker if it has not answered since."""
         if key not in self.attempts:
             return
-        worker, function, sent_at = self.attempts[key]
+        worker, function, sent_at, _ = self.attempts[key]
         if self.last_heard < sent_at:  # no worker answered since: the fault may be local
             self.all_silent_since = min(self.all_silent_since, sent_at)
             return self.schedule(self.overdue_timeout(worker, function) / 2, self.on_attempt_overdue, key)
@@ -256,7 +258,7 @@
         Until it gets an answer, such a class has no more than one attempt in flight.
         """
         return function.class_index in worker.unanswered_classes and any(
-            sent_at >= worker.started and self.attempts[key][1].class_index == function.class_index
+            sent_at >= worker.started and self.attempts[key].function.class_index == function.class_index
             for key, sent_at in worker.in_flight.items()
         )
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -271,7 +271,7 @@
         router.handle(0.0, [i.WorkersListed(i.ListScope.REMEMBERED, workers(2))])
         for n, (worker, in_progress) in enumerate(((1, 30.0), (2, 2.0))):
             router.handle(10.0 + n, [i.RequestArrived(n, 0, "f", 2010.0, slots=4)])
-            key, (w, f, _) = next(iter(router.attempts.items()))
+            key, (w, f, *_) = next(iter(router.attempts.items()))
             router.release_attempt(*key)
             w = router.workers[worker]
             router.record_attempt(router.requests[n], f, w)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -306,7 +306,7 @@
             if isinstance(a, i.OrderCopies):
                 rig.give(i.OrderEnded(a.worker, "f", i.Outcome.OK, 1, 300.0))
         rig.now += 20
-        for (request, attempt), (w, _, _) in list(rig.router.attempts.items()):
+        for (request, attempt), (w, *_) in list(rig.router.attempts.items()):
             rig.give(
                 i.AttemptEnded(
                     request, w.entry.worker, attempt, i.Outcome.OK, 20.0, True, i.CopyLookup.LOADED
