Take a zone that the settings lack for no zone of theirs: keyed repeats stay with their host

Until SIGHUP brings its name, a host of a new zone counted for the settings' first zone, and so did one that names no zone where there are several: a request of a class that is deduplicated by zone was repeated in the first zone, and in other unknown ones. Cause: HostListActor took index 0 for a zone that it did not find; repeat_rules compared it as if it were known. Evidence: list and router on one clock: host of zone "c", then one of "a" and one of "d": both got the repeat. Change: UNKNOWN_ZONE, which equals no zone, of the same host alone; where the settings have one zone at most, an entry need not name it, as before. The log names what is done. Kinds still fall back to the first one: no rule rests on them.

--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -171,9 +171,12 @@
     loads: float | None = None
 
 
+UNKNOWN_ZONE = -1  # the list names a zone that the settings don't have
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """An entry of the worker list.
+    """An entry of the worker list; `zone` is an index of the settings' zones, or UNKNOWN_ZONE.
 
     `started` is None where the worker started long ago. `start_stamp` identifies the start in the list: equal
     stamps mean the same start, whatever `started` is.
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -297,11 +297,17 @@
 
     def placed_entry(self, server: Server) -> i.WorkerEntry:
         """Return the module's entry of a host without its start: its number, place and capacity."""
-        zones, kinds = self.settings.zones, self.settings.kinds
-        zone = zones.index(server.zone) if server.zone in zones else 0
+        zone, kinds = self.zone_index(server.zone), self.settings.kinds
         kind = kinds.index(server.kind) if server.kind in kinds else 0
         return i.WorkerEntry(worker_number(server.id), zone, kind, server.cell, capacity=server.weight)
 
+    def zone_index(self, name: str) -> int:
+        """Return the index of a zone in the settings; where they have one at most, it need not be named."""
+        zones = self.settings.zones
+        if name in zones:
+            return zones.index(name)
+        return i.UNKNOWN_ZONE if name or len(zones) > 1 else 0
+
     def remove_previous_host(self, server: Server, changes: WorkerChanges) -> None:
         """Remove any other host at the server's address: the address belongs to this server now."""
         address = parse_address(server.addr)
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -192,12 +192,13 @@
     The host is used nevertheless: the bus may list a new zone before SIGHUP loads its name, and a host that
     drains there must be noticed.
     """
-    checks = (("zone", server.zone, settings.zones), ("kind", server.kind, settings.kinds))
+    checks = (
+        ("zone", server.zone, settings.zones, "held for a zone of its own"),
+        ("kind", server.kind, settings.kinds, "using the first one"),
+    )
     return [
-        BadServerError(
-            server.id, field, f"{name[:MAX_SHOWN_LENGTH]!r} is not in the settings; using the first one"
-        )
-        for field, name, names in checks
+        BadServerError(server.id, field, f"{name[:MAX_SHOWN_LENGTH]!r} is not in the settings; {substitute}")
+        for field, name, names, substitute in checks
         if name and name not in names
     ]
 
--- a/harrieryoke/repeat_rules.py
+++ b/harrieryoke/repeat_rules.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from .interface import DeduplicationScope, Effect, RequestClass, WorkerEntry
+from .interface import UNKNOWN_ZONE, DeduplicationScope, Effect, RequestClass, WorkerEntry
 
 
 class PossibleRun(NamedTuple):
@@ -42,9 +42,12 @@
 
 
 def _in_same_scope(scope: DeduplicationScope, earlier_worker: WorkerEntry, worker: WorkerEntry) -> bool:
-    """Whether both workers deduplicate by the same keys."""
+    """Whether both workers deduplicate by the same keys. Two unknown zones may be different ones."""
     if scope is DeduplicationScope.ZONE:
-        return earlier_worker.zone == worker.zone
+        zone_is_known = worker.zone != UNKNOWN_ZONE
+        return earlier_worker.zone == worker.zone and (
+            zone_is_known or earlier_worker.worker == worker.worker
+        )
     if scope is DeduplicationScope.CELL:
         return earlier_worker.cell == worker.cell
     return True
--- a/tests/test_deduplication_scope.py
+++ b/tests/test_deduplication_scope.py
@@ -96,6 +96,22 @@
     assert front_end.sent[1:] == [worker_number("inside")]
 
 
+@pytest.mark.parametrize("front_end", [DeduplicationScope.ZONE], indirect=True)
+@pytest.mark.parametrize("zone", ["c", ""])
+def test_a_keyed_request_leaves_no_zone_that_the_settings_lack(front_end: ListedFrontEnd, zone: str) -> None:
+    """Guards against repeats in the settings' first zone, or in another unknown one (beside review/6)."""
+    unknown = Server("unknown", "127.0.0.1:4", "active", zone)
+    front_end.tell(unknown, full=True)
+    front_end.handle(RequestArrived(1, 0, "f", front_end.now + 2000, slots=2))
+    others = (OUTSIDE, Server("other", "127.0.0.1:5", "active", zone + "d"))
+    front_end.tell(*others)
+    for server in others:
+        front_end.router.record_copy(front_end.router.functions["f"], worker_number(server.id))
+    front_end.handle(AttemptEnded(1, worker_number("unknown"), 0, Outcome.RESET, 500, False))
+    front_end.wait()
+    assert {*front_end.sent} == {worker_number("unknown")}
+
+
 @pytest.mark.parametrize("change", list(CHANGES)[:3])
 def test_a_host_that_is_gone_counts_for_its_own_zone(front_end: ListedFrontEnd, change: str) -> None:
     """Guards against ejections that count for the settings' first zone, where all hosts answer (review/6)."""
