Confirm operators' changes of the ledger only once their records are durable

Cause: LedgerActor.correct and close_period returned as soon as append had queued the record, which promises nothing; and correct ignored whether the records before it had become durable, so it could read a sum without an earlier correction. Evidence: with the store's thread held still, the folder has 0 corrections and 0 seals in the moment of the answer. Ruled out: torn tails (a kill leaves the page cache), the export (the folder lacks it, too), entries of calls (answers wait). Change: ledger/operator_changes.py, taken out of actor.py, waits for the records of each change; StoreWriter.make_durable syncs under every policy; after 2 s the answer is 503 and says whether the change was made, and nothing is added while earlier records are not durable. test_ledger.py calls the new place; its assertions are as they were.

--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -340,6 +340,14 @@
     def durable_seq(self) -> int:
         return self.last_serial if self.store_writer is None else self.store_writer.durable_seq
 
+    def last_seq(self) -> int:
+        """The sequence number of the newest record."""
+        return self.last_serial if self.store_writer is None else self.store_writer.next_seq - 1
+
+    def make_durable(self, seq: int, timeout_s: float) -> bool:
+        """Waits until all records up to `seq` are durable; False on timeout. Without a store nothing is."""
+        return self.store_writer is None or self.store_writer.make_durable(seq, timeout_s)
+
     # --- for the export; called from other greenlets through `run_in_actor` ---
 
     def run_in_actor(self, function: Callable[[], T], timeout_ms: float = 5000.0) -> T:
@@ -459,36 +467,15 @@
 
     # --- operators' requests ---
 
-    def close_period(self, number: int) -> str:
-        """Raises PeriodError."""
-        return self.run_in_actor(lambda: self.seal_period(number))
-
-    def correct(self, entry_id: EntryId, corrected: Amounts, reason: str) -> Entry:
-        """Raises BookError if the entry is not stored or can't be corrected."""
-        store_writer = self.store_writer
-        if store_writer is None:
-            raise BookError("corrections need a [store]")
-        if self.run_in_actor(lambda: store_writer.next_seq - 1) > store_writer.durable_seq:
-            store_writer.wait_durable(store_writer.next_seq - 1, 2.0)
-        root, entries = store_writer.run_in_thread(lambda store: find_with_corrections(store, entry_id))
-        if not entries:
-            raise BookError(f"{entry_id} is not in the store")
-        old = next(candidate for candidate in entries if candidate.id == entry_id)
-        earlier = sum((candidate.amounts for candidate in entries), Amounts())
-
-        def add_correction() -> Entry:
-            if not self.has_room():
-                raise BookError("the store accepts no records just now")
-            entry = self.ledger.book.add_correction(old, earlier, corrected, reason, int(wall_ms()))
-            self.write_entry(entry, root)
-            return entry
-
-        return self.run_in_actor(add_correction)
-
-    def retry_batch(self, batch_id: BatchId) -> bool:
-        found = self.run_in_actor(lambda: self.ledger.export.retry_set_aside(batch_id))
-        self.on_export_work()
-        return found
+    def add_correction(
+        self, old: Entry, earlier: Amounts, corrected: Amounts, reason: str, root: EntryId
+    ) -> Entry:
+        """Writes the correction of an entry. Raises BookError."""
+        if not self.has_room():
+            raise BookError("the store accepts no records just now")
+        entry = self.ledger.book.add_correction(old, earlier, corrected, reason, int(wall_ms()))
+        self.write_entry(entry, root)
+        return entry
 
     def request_status(self, timeout_ms: float) -> dict[str, Any]:
         result: AsyncResult = AsyncResult()
@@ -561,17 +548,4 @@
     return entries
 
 
-def find_with_corrections(store: Store, entry_id: EntryId) -> tuple[EntryId, list[Entry]]:
-    """The root of an entry id, and the root entry with all its corrections."""
-    root = entry_id
-    for record in store.records_with_key(entry_id.store_key()):
-        if record.kind == CORRECTION_ROOT:
-            root = msgspec.msgpack.decode(record.payload, type=EntryId)
-    return root, [
-        decode_entry(record.payload)
-        for record in store.records_with_key(root.store_key())
-        if record.kind in ENTRY_KINDS
-    ]
-
-
 __all__ = ["LedgerActor", "LedgerError", "PeriodError"]
--- a/harrieryoke/ledger/part.py
+++ b/harrieryoke/ledger/part.py
@@ -21,6 +21,7 @@
 from .decide.export import BatchId
 from .decide.periods import PeriodError
 from .link import CollectorLink
+from .operator_changes import NotDurableError, OperatorChanges
 from .reconciler import Turns
 from .settings import LedgerSettings
 
@@ -45,6 +46,7 @@
         turns: Turns | None = None,
     ) -> None:
         self.actor = LedgerActor(ledger_settings, store, instance, settings, limits.module_mailbox, log)
+        self.changes = OperatorChanges(self.actor)
         self.runner = JobRunner(background, log, seed, is_busy)
         self.actor.add_jobs(self.runner)
         self.link: CollectorLink | None = None
@@ -90,18 +92,20 @@
                     self.link.reconcile(int(query["period"]))
                 return 200, {"results": list(self.link.reconciler.results.values())}
             if path == "/ledger/close":
-                return 200, {"sealed": self.actor.close_period(int(query["period"]))}
+                return 200, {"sealed": self.changes.close_period(int(query["period"]))}
             if path == "/ledger/again":
-                found = self.actor.retry_batch(BatchId(int(query["epoch"], 16), int(query["batch"])))
+                found = self.changes.retry_batch(BatchId(int(query["epoch"], 16), int(query["batch"])))
                 return (200, {"again": True}) if found else (404, {"error": "no such batch is set aside"})
             if path == "/ledger/correct":
                 corrected = Amounts(*(int(query[key]) for key in ("calls", "worth", "took", "held")))
-                entry = self.actor.correct(EntryId.parse(query["id"]), corrected, query.get("reason", ""))
+                entry = self.changes.correct(EntryId.parse(query["id"]), corrected, query.get("reason", ""))
                 return 200, {"id": str(entry.id), "period": entry.period, "came": entry.original_period}
         except KeyError as error:
             return 400, {"error": f"parameter {error.args[0]!r} is missing"}
         except (ValueError, BookError, PeriodError) as error:
             return 400, {"error": str(error)}
+        except NotDurableError as error:
+            return 503, {"error": str(error)}
         except gevent.Timeout:
             return 503, {"error": "the ledger did not answer in time"}
         return 404, {"error": "no such path"}
--- a/harrieryoke/store/actor.py
+++ b/harrieryoke/store/actor.py
@@ -26,7 +26,8 @@
 
 class StoreWriter:
     """Appends records without blocking: `append` assigns the sequence number and tells whether there was
-    room; callers that need durability use `wait_durable`. Only the thread touches the store."""
+    room; callers that need durability use `wait_durable` or `make_durable`. Only the thread touches the
+    store."""
 
     def __init__(
         self,
@@ -48,6 +49,7 @@
         self.pending_bytes = self.refused_count = self.group_count = 0
         self.next_seq = self.store.commit.next_seq
         self.durable_seq = self.store.commit.durable_seq
+        self.flush_up_to_seq = 0  # to be synced now, whatever the sync policy
         self.failure = ""
         self.durable_advanced, self.work_available, self.ended = Event(), Event(), Event()
         self.stopping = False
@@ -105,6 +107,12 @@
                 self.durable_advanced.wait()
         return self.durable_seq >= seq
 
+    def make_durable(self, seq: int, timeout_s: float) -> bool:
+        """Syncs all records up to `seq`, whatever the sync policy, and waits for it; False on timeout."""
+        self.flush_up_to_seq = max(self.flush_up_to_seq, seq)
+        self.work_available.set()
+        return self.wait_durable(seq, timeout_s)
+
     def run_in_thread(self, function: Callable[[Store], T]) -> T:
         """Runs `function` in the store's thread, between two writes, and returns its result."""
         return self.thread_pool.apply(lambda: function(self.store))  # type: ignore[no-any-return]
@@ -121,7 +129,9 @@
             group = list(self.queue)
             self.queue.clear()
             started_at = now_ms()
-            durable_seq, failure = self.thread_pool.apply(self.process_group, (group, self.stopping))
+            durable_seq, failure = self.thread_pool.apply(
+                self.process_group, (group, self.stopping or self.flush_wanted())
+            )
             self.group_count += 1
             self.handle_progress(durable_seq, failure, now_ms() - started_at)
             if failure:
@@ -134,7 +144,14 @@
         self.thread_pool.kill()
 
     def has_unfinished_work(self) -> bool:
-        return bool(self.failure) or (self.stopping and self.durable_seq + 1 < self.next_seq)
+        return (
+            bool(self.failure)
+            or self.flush_wanted()
+            or (self.stopping and self.durable_seq + 1 < self.next_seq)
+        )
+
+    def flush_wanted(self) -> bool:
+        return self.durable_seq < self.flush_up_to_seq
 
     def process_group(self, group: list[tuple[float, int, bytes, bytes]], closing: bool) -> tuple[int, str]:
         """Runs in the thread: appends the group and advances as far as the sync policy requires."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -188,15 +188,15 @@
     rig.finish_calls(3)
     until(lambda: rig.part.actor.ledger.book.last_number == 3)
     epoch = rig.part.actor.epoch
-    first = rig.part.actor.correct(EntryId("n1", epoch, 2), Amounts(1, 0, 10, 4000), "measured wrong")
+    first = rig.part.changes.correct(EntryId("n1", epoch, 2), Amounts(1, 0, 10, 4000), "measured wrong")
     rig.part.stop()
     rig = Rig(tmp_path, None)
-    second = rig.part.actor.correct(first.id, Amounts(), "it was a test call")
+    second = rig.part.changes.correct(first.id, Amounts(), "it was a test call")
     assert second.amounts == Amounts(-1, 0, -10, -4000) and second.corrects == first.id
     with pytest.raises(BookError, match="already"):
-        rig.part.actor.correct(EntryId("n1", epoch, 2), Amounts(), "again")
+        rig.part.changes.correct(EntryId("n1", epoch, 2), Amounts(), "again")
     with pytest.raises(BookError, match="not in the store"):
-        rig.part.actor.correct(EntryId("n1", epoch, 99), Amounts(), "none")
+        rig.part.changes.correct(EntryId("n1", epoch, 99), Amounts(), "none")
     code, answer = rig.part.answer("POST", "/ledger/correct", {"id": "x"}, 1000)
     assert code == 400 and "calls" in answer["error"]
     totals = rig.part.actor.request_status(1000)["totals"]
