Leave entries to the batch that is to deliver them when a period is reconciled

Cause: Reconciler asked once, before a run, whether a batch waits or is in flight, which leaves out entries in no batch yet and all that come later; the reading took every entry of the period. What the collector lacked was sent as a repair, and then in its batch, which the collector stores as a whole. Ruled out: batches stored twice (none came again), entries in two batches (rejected), the collector adding what it has. Change: UndeliveredEntries tells of each entry whether a batch is still to deliver it; these are neither compared nor sent, and counted as pending. A run waits for the acknowledgement of what was entered before its request, which ends under any load. A batch that was set aside and is whole is left to "ledger again", which sent it a second time before.

--- a/harrieryoke/ledger/actor.py
+++ b/harrieryoke/ledger/actor.py
@@ -4,7 +4,7 @@
 
 import secrets
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -41,8 +41,10 @@
     PeriodSealed,
 )
 from .decide.periods import PeriodError, Periods
+from .decide.undelivered import UndeliveredEntries
+from .period_entries import PeriodEntries, split_period
 from .settings import LedgerError, LedgerSettings
-from .wire.codec import batch_digest, encode_entry, entry_wire_id
+from .wire.codec import batch_digest, encode_entry
 
 T = TypeVar("T")
 NO_TENANT = "(none)"
@@ -380,10 +382,6 @@
             self.batch_created_seqs.pop(next_to_send.id, None)
         return next_to_send
 
-    def all_acknowledged(self) -> bool:
-        """Whether no batch is waiting or in flight."""
-        return not (self.ledger.export.waiting or self.ledger.export.in_flight)
-
     def read_batch(self, batch: Batch) -> list[Entry]:
         """Reads the entries of a batch in the store's thread. Raises LookupError if any is missing."""
         if self.store_writer is None:
@@ -400,15 +398,15 @@
             raise LookupError(f"batch {batch.id}: {len(entries)} of {expected} entries are there")
         return entries
 
-    def read_period(self, period: int) -> dict[int, bytes]:
-        """Reads, in the store's thread, all entries of a period that are still stored. Returns them by id,
-        encoded for the collector."""
-        if self.store_writer is not None:
-            return self.store_writer.run_in_thread(lambda store: read_period_entries(store, period))
-        encoded_entries = (
-            encode_entry(entry) for entry in self.entries_in_memory.values() if entry.period == period
+    def read_period(self, period: int) -> PeriodEntries:
+        """Reads, in the store's thread, all entries of a period that are still stored."""
+        # taken before reading: what comes meanwhile is in no batch of it, and held back
+        undelivered = self.run_in_actor(lambda: UndeliveredEntries(self.ledger.export))
+        if self.store_writer is None:
+            return split_period(self.entries_in_memory.values(), period, undelivered)
+        return self.store_writer.run_in_thread(
+            lambda store: split_period(read_entries(store), period, undelivered)
         )
-        return {entry_wire_id(data): data for data in encoded_entries}
 
     def record_batch_end(self, batch_id: BatchId, reason: str = "") -> None:
         """Records that a batch was acknowledged, or was set aside with a reason."""
@@ -539,13 +537,11 @@
     return entries
 
 
-def read_period_entries(store: Store, period: int) -> dict[int, bytes]:
-    entries: dict[int, bytes] = {}
-    for record in store.records_from_seq(1):
-        if record.kind in ENTRY_KINDS and (entry := decode_entry(record.payload)).period == period:
-            data = encode_entry(entry)
-            entries[entry_wire_id(data)] = data
-    return entries
+def read_entries(store: Store) -> Iterator[Entry]:
+    """All entries that are stored."""
+    return (
+        decode_entry(record.payload) for record in store.records_from_seq(1) if record.kind in ENTRY_KINDS
+    )
 
 
 __all__ = ["LedgerActor", "LedgerError", "PeriodError"]
--- a/harrieryoke/ledger/commands.py
+++ b/harrieryoke/ledger/commands.py
@@ -151,7 +151,7 @@
     if json:
         print(msgspec.json.encode(rows).decode())
     else:
-        print_table(rows, ("period", "entries", "sent", "not_here", "bytes", "all_bytes"))
+        print_table(rows, ("period", "entries", "sent", "pending", "not_here", "bytes", "all_bytes"))
 
 
 @ledger.command()
--- a/harrieryoke/ledger/decide/export.py
+++ b/harrieryoke/ledger/decide/export.py
@@ -50,6 +50,7 @@
     attempts: int = 0
     sent_at: float = 0.0
     reason: str = ""
+    other_at_collector: bool = False  # the collector has other entries under this number, and keeps them
 
 
 @dataclass(slots=True)
@@ -172,7 +173,7 @@
             self.duplicate_answers += 1
             return False
         if batch.digest != digest:
-            # The collector has other entries under this number.
+            batch.other_at_collector = True
             self.digest_mismatches += 1
             self.set_aside(batch_id, f"the collector has another digest: {digest}")
             return False
@@ -200,7 +201,7 @@
         batch = self.set_aside_batches.pop(batch_id, None)
         if batch is None:
             return False
-        batch.state, batch.attempts = BatchState.WAITING, 0
+        batch.state, batch.attempts, batch.other_at_collector = BatchState.WAITING, 0, False
         self.waiting.append(batch_id)
         return True
 
--- a/harrieryoke/ledger/decide/ledger.py
+++ b/harrieryoke/ledger/decide/ledger.py
@@ -113,6 +113,13 @@
             first.entry.id.epoch, first.entry.id.number, last.entry.id.number, first.seq, last.seq, digest
         )
 
+    def is_exported_up_to(self, seq: int) -> bool:
+        """Whether no entry up to `seq` waits for a batch, or is in one that waits or is in flight."""
+        waiting = [self.export.batches[batch_id] for batch_id in self.export.waiting]
+        pending_seqs = [batch.first_seq for batch in (*waiting, *self.export.in_flight.values())]
+        pending_seqs += [self.unbatched[0].seq] if self.unbatched else []
+        return min(pending_seqs, default=seq + 1) > seq
+
     def first_needed_seq(self, next_seq: int) -> int:
         """The first sequence number of the store that the export still needs."""
         needed_seqs = [next_seq]
--- a/harrieryoke/ledger/link.py
+++ b/harrieryoke/ledger/link.py
@@ -172,6 +172,8 @@
                     self.log("collector-connected", self.settings.address)
                 elif kind == "answer" and welcomed:
                     self.ledger.run_in_actor(partial(self.handle_answer, frame.answer))
+                    if self.reconciler.awaited_seqs:
+                        self.runner.request("reconcile")
                 elif kind == "sketch" and welcomed:
                     if self.reconciler.handle_sketch(frame.sketch):
                         self.runner.request("reconcile")
--- a/harrieryoke/ledger/reconciler.py
+++ b/harrieryoke/ledger/reconciler.py
@@ -20,9 +20,11 @@
 from ..log import Log
 from .actor import LedgerActor
 from .decide.reconcile import ReconcileSession
+from .period_entries import PeriodEntries
 from .wire.codec import pb
 
 MAX_RESULTS = 64
+MAX_AWAITED = 64  # beyond these, what is not exported is only held back
 MAX_REPAIR_BYTES = 1 << 20  # per message
 
 
@@ -96,7 +98,7 @@
     period: int
     token: int
     session: ReconcileSession
-    entries: dict[int, bytes]  # our encoded entries, by id
+    entries: PeriodEntries
     requested_at: float
     reply: pb.Sketch | None = None
     all_bytes: int = 0
@@ -116,11 +118,20 @@
     turns: Turns = field(default_factory=LocalTurns)
     run: ReconcileRun | None = None
     stopped_count: int = 0  # runs whose turn ended before they were done
+    # by period that is wanted: the last record then; the next run waits until all before it is exported
+    awaited_seqs: dict[int, int] = field(default_factory=dict)
     results: OrderedDict[int, dict[str, Any]] = field(default_factory=OrderedDict)
 
     def request(self, period: int) -> None:
+        """Has a period reconciled."""
+        self.await_export(period)
         self.turns.want(period)
 
+    def await_export(self, period: int) -> None:
+        """Has the next run wait until all entries up to now are exported."""
+        if len(self.awaited_seqs) < MAX_AWAITED:
+            self.awaited_seqs.setdefault(period, self.ledger.last_seq())
+
     def handle_sketch(self, sketch: pb.Sketch) -> bool:
         """Whether the sketch answers the current request."""
         run = self.run
@@ -154,19 +165,23 @@
             self.connection_lost()
         if self.run is not None:
             return self.continue_run(self.run)
-        # A repair would otherwise include entries that a pending batch is about to deliver.
-        may_start = (
-            self.turns.some()
-            and self.is_connected()
-            and self.ledger.run_in_actor(self.ledger.all_acknowledged)
-        )
+        may_start = self.turns.some() and self.is_connected() and self.ledger.run_in_actor(self.is_exported)
         turn = self.turns.next() if may_start else None
         return self.start_run(*turn) if turn is not None else SliceOutcome()
 
+    def is_exported(self) -> bool:
+        """Whether all entries from before the requests are exported: else a run would hold them back."""
+        self.awaited_seqs = {
+            period: seq
+            for period, seq in self.awaited_seqs.items()
+            if not self.ledger.ledger.is_exported_up_to(seq)
+        }
+        return not self.awaited_seqs
+
     def start_run(self, period: int, token: int) -> SliceOutcome:
         entries = self.ledger.read_period(period)
-        session = ReconcileSession(entries, secrets.randbits(32))
-        all_bytes = sum(map(len, entries.values()))
+        session = ReconcileSession(entries.delivered, secrets.randbits(32))
+        all_bytes = sum(map(len, entries.delivered.values()))
         self.run = run = ReconcileRun(period, token, session, entries, now_ms(), None, all_bytes)
         # Reading the entries in the store's thread may have taken long.
         return SliceOutcome() if self.stop_if_turn_ended(run) else self.request_sketch(run, 0)
@@ -185,10 +200,10 @@
         if difference is None and run.session.cells:
             return self.request_sketch(run, run.session.cells)
         # Beyond the largest table all entries are sent; the collector keeps those it lacks.
-        missing_ids = list(run.entries) if difference is None else sorted(difference.only_here)
+        missing_ids = list(run.entries.delivered) if difference is None else sorted(difference.only_here)
         sent_bytes, message_entries, message_bytes = 0, list[bytes](), 0
         for entry_id in missing_ids:
-            message_entries.append(run.entries[entry_id])
+            message_entries.append(run.entries.delivered[entry_id])
             message_bytes += len(message_entries[-1])
             if message_bytes >= MAX_REPAIR_BYTES:
                 sent_bytes += self.send_repair(run, message_entries)
@@ -196,22 +211,32 @@
                 if self.stop_if_turn_ended(run):  # sending may have blocked until the collector read
                     return SliceOutcome(moved_bytes=sent_bytes)
         sent_bytes += self.send_repair(run, message_entries) if message_entries else 0
-        self.finish_run(
-            run, len(missing_ids), None if difference is None else len(difference.only_there), sent_bytes
-        )
+        foreign = None if difference is None else self.count_foreign(run, difference.only_there)
+        if self.run is not run:  # the connection was lost meanwhile
+            return SliceOutcome(moved_bytes=sent_bytes)
+        self.finish_run(run, len(missing_ids), foreign, sent_bytes)
         return SliceOutcome(has_more=self.turns.some(), moved_bytes=sent_bytes)
 
+    def count_foreign(self, run: ReconcileRun, only_there: set[int]) -> int:
+        """Counts entries that only the collector has. Some may have been delivered during the run."""
+        foreign = only_there - run.entries.held_back.keys()
+        if not foreign:
+            return 0
+        now_here = self.ledger.read_period(run.period)
+        return len(foreign - now_here.delivered.keys() - now_here.held_back.keys())
+
     def send_repair(self, run: ReconcileRun, entries: list[bytes]) -> int:
         return self.send(pb.Frame(repair=pb.Repair(period=run.period, entries=entries, token=run.token)))
 
     def finish_run(self, run: ReconcileRun, sent: int, foreign: int | None, sent_bytes: int) -> None:
         run.settled, self.run = True, None
         transferred_bytes = run.session.transferred_bytes + sent_bytes
-        self.turns.done(run.period, run.token, len(run.entries), sent, foreign, transferred_bytes)
+        self.turns.done(run.period, run.token, len(run.entries.delivered), sent, foreign, transferred_bytes)
         result = {
             "period": run.period,
-            "entries": len(run.entries),
+            "entries": len(run.entries.delivered),
             "sent": sent,  # entries that the collector lacked
+            "pending": len(run.entries.held_back),  # entries that a batch is still to deliver
             "not_here": foreign,  # entries that only the collector has; None: unknown
             "bytes": transferred_bytes,
             "all_bytes": run.all_bytes,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -22,6 +22,7 @@
 from harrieryoke.lab.collector import EmulatedCollector
 from harrieryoke.ledger.decide.book import BookError
 from harrieryoke.ledger.decide.entry import Amounts, EntryId
+from harrieryoke.ledger.decide.export import BatchId
 from harrieryoke.ledger.part import LedgerPart
 from harrieryoke.ledger.settings import CollectorSettings, LedgerError, LedgerSettings
 from harrieryoke.ledger.tls import create_context
@@ -183,6 +184,33 @@
     collector.stop()
 
 
+@pytest.mark.parametrize("disk", [True, False])
+@pytest.mark.parametrize("fault", [{}, {"slow": 1.0}, {"drop": 0.3, "lose": 0.3}, {"never": 1.0}], ids=str)
+def test_a_period_reconciled_at_any_moment_exports_no_entry_twice(
+    fault: dict[str, float], disk: bool, tmp_path: Path
+) -> None:
+    """Guards against repairs of entries that their batch, or `ledger again`, still delivers (review/9)."""
+    collector = EmulatedCollector(random.Random(3), fault)
+    rig = Rig(tmp_path if disk else None, collector)
+    for step in range(30):
+        rig.finish_calls(7)
+        gevent.sleep(0.005 * (step % 4))
+        (period, *_) = rig.part.actor.request_status(1000)["periods"]
+        assert rig.part.answer("POST", "/ledger/reconcile", {"period": str(period["period"])}, 1000)[0] == 200
+    until(rig.settled_except_set_aside)
+    until(lambda: rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"])
+    (result,) = rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"]
+    collector.faults = {}
+    for aside in rig.part.actor.request_status(1000)["export"]["aside"]:
+        assert rig.part.changes.retry_batch(BatchId(int(aside["epoch"], 16), aside["batch"]))
+    until(rig.settled)
+    figures = collector.figures()
+    rig.part.stop()
+    collector.stop()
+    assert (figures["entries"], figures["duplicates"], figures["holes"]) == (210, 0, 0), figures
+    assert result["not_here"] == 0, result
+
+
 def test_a_correction_of_a_correction_is_found_after_a_restart(tmp_path: Path) -> None:
     rig = Rig(tmp_path, None)
     rig.finish_calls(3)
--- a/tests/test_ledger_crash.py
+++ b/tests/test_ledger_crash.py
@@ -24,6 +24,9 @@
     PeriodSealed,
 )
 from harrieryoke.ledger.decide.periods import Periods
+from harrieryoke.ledger.decide.undelivered import UndeliveredEntries
+from harrieryoke.ledger.period_entries import split_period
+from harrieryoke.ledger.wire.codec import pb
 from harrieryoke.store.decide.segment import Record
 from harrieryoke.store.settings import StoreError, StoreSettings
 from harrieryoke.store.store import Store
@@ -31,6 +34,7 @@
 from .faulty import Crash, Disk, Killed
 from .test_ledger_decide import HOUR
 
+REPAIRS = 0  # the epoch under which the collector keeps repairs
 PACK = msgspec.msgpack.encode
 FUZZ = settings(max_examples=200, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 
@@ -40,6 +44,7 @@
 
     def __init__(self, disk: Disk, epoch: int, collector: dict[BatchId, tuple[str, list[Entry]]]) -> None:
         self.disk, self.collector, self.now = disk, collector, 10.0 * HOUR
+        self.repair: list[Entry] = []  # what the collector lacked when a reconciliation compared
         self.ledger = LedgerState(
             Book("n1", epoch, Periods(HOUR, 0), 6000), ExportState(max_kept_batches=2), max_batch_entries=3
         )
@@ -93,6 +98,13 @@
                 )
         elif step == "export":
             self.export()
+        elif step == "compare":
+            self.compare()
+        elif step == "repair":
+            had = {entry.id for _, batch in self.collector.values() for entry in batch}
+            added, self.repair = [entry for entry in self.repair if entry.id not in had], []
+            if added:
+                self.collector[BatchId(REPAIRS, len(self.collector))] = "", added
         elif step == "snapshot" and self.flush():
             self.store.take_snapshot(self.store.commit.durable_seq, self.ledger.dump())
         elif step == "compact" and self.flush():
@@ -103,6 +115,24 @@
     def add_entry(self, entry: Entry) -> None:
         self.ledger.add_unbatched(self.append_record(entry.kind, entry.encode()), entry, self.now)
 
+    def compare(self) -> None:
+        """Of any period: what was delivered by the ledger's word, and is not at the collector."""
+        undelivered = UndeliveredEntries(self.ledger.export)
+        stored = [
+            decode_entry(record.payload)
+            for record in self.store.records_from_seq(1)
+            if record.kind in ENTRY_KINDS
+        ]
+        had = {entry.id for _, batch in self.collector.values() for entry in batch}
+        for period in {entry.period for entry in stored}:
+            delivered = split_period(stored, period, undelivered).delivered.values()
+            ids = {(message.epoch, message.number) for message in map(pb.Entry.FromString, delivered)}
+            self.repair += [
+                e
+                for e in stored
+                if (e.id.epoch, e.id.number) in ids and e.period == period and e.id not in had
+            ]
+
     def export(self) -> None:
         """In the order of the daemon: create the batch, make that durable, send, then record the end."""
         durable_seq = self.store.commit.durable_seq
@@ -133,7 +163,9 @@
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from("use use use use correct seal export snapshot compact flush".split()),
+            st.sampled_from(
+                "use use use use correct seal export compare repair snapshot compact flush".split()
+            ),
             st.integers(1, 99),
         ),
         max_size=60,
@@ -158,6 +190,8 @@
         for number, digest in sealed.items():  # durable seals are never lost
             assert started.ledger.book.periods.by_number[number].seal_digest == digest
         for id, (_, entries) in collector.items():  # every sent batch is known here
+            if id.epoch == REPAIRS:
+                continue
             assert started.ledger.export.epochs[id.epoch].last_entry >= entries[-1].id.number
         started.ledger.export.connection_lost()
         return started
