Start a reconciliation over when the connection to the collector was replaced under it

A collector that went back to an older copy while a period was being read got entries twice: in a repair and in the batches that go out again. Cause: Reconciler.start_run went on with what it had read though connection_lost had come meanwhile, and so did the loop over large repairs; after a new welcome, batches that were acknowledged wait again. Change: a run that was being read when a connection ended is dropped, as one that had begun; either waits until what was entered before is acknowledged.

--- a/harrieryoke/ledger/reconciler.py
+++ b/harrieryoke/ledger/reconciler.py
@@ -117,6 +117,7 @@
     answer_timeout_ms: float
     turns: Turns = field(default_factory=LocalTurns)
     run: ReconcileRun | None = None
+    lost_connections: int = 0
     stopped_count: int = 0  # runs whose turn ended before they were done
     # by period that is wanted: the last record then; the next run waits until all before it is exported
     awaited_seqs: dict[int, int] = field(default_factory=dict)
@@ -145,7 +146,9 @@
 
     def connection_lost(self) -> None:
         """The connection ended: what the collector said on it may be outdated."""
-        self.run = None
+        if self.run is not None:
+            self.await_export(self.run.period)
+        self.run, self.lost_connections = None, self.lost_connections + 1
         self.turns.lost()
 
     def stop_if_turn_ended(self, run: ReconcileRun) -> bool:
@@ -179,7 +182,11 @@
         return not self.awaited_seqs
 
     def start_run(self, period: int, token: int) -> SliceOutcome:
+        lost_before = self.lost_connections
         entries = self.ledger.read_period(period)
+        if self.lost_connections != lost_before:  # the collector may have gone back; the period starts over
+            self.await_export(period)
+            return SliceOutcome()
         session = ReconcileSession(entries.delivered, secrets.randbits(32))
         all_bytes = sum(map(len, entries.delivered.values()))
         self.run = run = ReconcileRun(period, token, session, entries, now_ms(), None, all_bytes)
@@ -208,7 +215,9 @@
             if message_bytes >= MAX_REPAIR_BYTES:
                 sent_bytes += self.send_repair(run, message_entries)
                 message_entries, message_bytes = [], 0
-                if self.stop_if_turn_ended(run):  # sending may have blocked until the collector read
+                # Sending may have blocked until the collector read. On another connection the collector may
+                # have gone back to an older copy, and batches deliver these entries again.
+                if self.run is not run or self.stop_if_turn_ended(run):
                     return SliceOutcome(moved_bytes=sent_bytes)
         sent_bytes += self.send_repair(run, message_entries) if message_entries else 0
         foreign = None if difference is None else self.count_foreign(run, difference.only_there)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -24,6 +24,7 @@
 from harrieryoke.ledger.decide.entry import Amounts, EntryId
 from harrieryoke.ledger.decide.export import BatchId
 from harrieryoke.ledger.part import LedgerPart
+from harrieryoke.ledger.period_entries import PeriodEntries
 from harrieryoke.ledger.settings import CollectorSettings, LedgerError, LedgerSettings
 from harrieryoke.ledger.tls import create_context
 from harrieryoke.limits import Limits
@@ -211,6 +212,39 @@
     assert result["not_here"] == 0, result
 
 
+def test_a_collector_that_goes_back_while_a_period_is_read_gets_its_entries_once(tmp_path: Path) -> None:
+    """Guards against repairs of entries that batches deliver again on a new connection (beside review/9)."""
+    collector = EmulatedCollector(random.Random(3))
+    rig = Rig(tmp_path, collector)
+    until(lambda: rig.part.link and rig.part.link.connected)
+    collector.save_batches()
+    rig.finish_calls(200)
+    until(rig.settled)
+    actor, link = rig.part.actor, rig.part.link
+    assert link is not None
+    collector.faults, actor.ledger.export.max_in_flight = {"slow": 1.0}, 1
+    read_period, connections = actor.read_period, link.connection_count
+
+    def read_while_the_collector_goes_back(period: int) -> PeriodEntries:
+        entries = read_period(period)
+        if link.connection_count == connections:
+            collector.restore_saved_batches()
+            until(lambda: link.connected and link.connection_count > connections)
+        return entries
+
+    actor.read_period = read_while_the_collector_goes_back  # type: ignore[method-assign]
+    (period,) = actor.request_status(1000)["periods"]
+    assert rig.part.answer("POST", "/ledger/reconcile", {"period": str(period["period"])}, 1000)[0] == 200
+    until(lambda: rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"])
+    (result,) = rig.part.answer("GET", "/ledger/reconcile", {}, 1000)[1]["results"]
+    until(rig.settled)
+    figures = collector.figures()
+    rig.part.stop()
+    collector.stop()
+    assert collector.counts["back"] == 1 and (figures["entries"], figures["duplicates"]) == (200, 0), figures
+    assert (result["entries"], result["pending"]) == (200, 0), result
+
+
 def test_a_correction_of_a_correction_is_found_after_a_restart(tmp_path: Path) -> None:
     rig = Rig(tmp_path, None)
     rig.finish_calls(3)
