Start what can fail before a takeover, and pass the operators' HTTP on in an upgrade

Cause: Service.start told the old process that this one serves, and only then started the operators' HTTP, whose address the old one had, and the council; OSError was caught nowhere for the former. Evidence: the new process's log has "takeover", then errno 98 in OpsServer.start; the old one's "taken-over", then "taken-back". Ruled out: the handover itself (without [ops] nothing is lost). Change: the address is bound, shared, before the takeover; the old process leaves it when the new one serves and takes it back if that ends. Council and HTTP start before calls are accepted. A store's folder that can't be made is a StoreError. test_broker_session.py hands its stand-in over in Parts, as the service does; its assertions are as they were.

--- a/harrieryoke/net/listening.py
+++ b/harrieryoke/net/listening.py
@@ -9,15 +9,25 @@
 from ..log import Log
 
 
-def bind_listener(address: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
-    """Return a listening socket, which other processes may bind too if `shared`. Raises OSError."""
+def bind_address(address: tuple[str, int], shared: bool = False) -> socket.socket:
+    """Return a socket at the address, which other processes may bind too if `shared`. Raises OSError."""
     # create_server would create a socket that blocks the whole process
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        listening.bind(address)
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def bind_listener(address: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
+    """Return a listening socket; otherwise as `bind_address`."""
+    listening = bind_address(address, shared)
+    try:
         listening.listen(backlog)
     except OSError:
         listening.close()
--- a/harrieryoke/ops.py
+++ b/harrieryoke/ops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
@@ -14,6 +15,7 @@
 from .core.actor import spawn
 from .limits import Limits
 from .log import Log
+from .net.listening import bind_address
 
 BACKLOG = 16  # connections that the kernel accepts ahead of the listener
 ACCEPT_RETRY_S = 0.05
@@ -154,22 +156,62 @@
 
     def __init__(self, address: tuple[str, int], handler: RequestHandler, limits: Limits, log: Log) -> None:
         self.address, self.handler, self.limits, self.log = address, handler, limits, log
+        self.bound: socket.socket | None = None  # not while another process serves
+        self.shared = False
+
+    def open(self, shared: bool) -> None:
+        """Bind the address, which other processes may bind too if `shared`. Raises OSError."""
+        self.bound = bind_address(self.address, shared)
+        self.shared = shared
 
     def start(self) -> None:
-        """Start to listen. Raises OSError if the address can't be bound."""
-        sock = socket.create_server(self.address, backlog=BACKLOG)
-        spawn(self.log, "ops listener", lambda: self.accept(sock))
+        """Serve at the address that `open` bound. Raises OSError."""
+        assert self.bound is not None, "start comes after open"
+        listening = self.bound
+        listening.listen(BACKLOG)
+        spawn(self.log, "ops listener", lambda: self.accept(listening))
+
+    def pause(self) -> None:
+        """Leave the address to the process that has taken over; requests that came before are answered."""
+        listening, self.bound = self.bound, None
+        if listening is not None:
+            self.accept_waiting(listening)
+            listening.close()
+
+    def resume(self) -> None:
+        """Serve again: the process that had taken over has ended."""
+        if self.bound is not None:
+            return
+        try:
+            self.open(self.shared)
+            self.start()
+        except OSError as error:
+            self.log("ops-failed", f"ops.listen: {error}")
+
+    def accept_waiting(self, listening: socket.socket) -> None:
+        """Accept the connections that the kernel has queued."""
+        listening.settimeout(0.0)
+        with suppress(OSError):
+            while True:
+                sock, _ = listening.accept()
+                self.spawn_server(sock)
 
     def accept(self, listening: socket.socket) -> None:
-        """Run the listener's greenlet."""
-        while True:
+        """Run the listener's greenlet, until another process has taken over."""
+        while listening is self.bound:
             try:
                 sock, _ = listening.accept()
             except OSError as error:
+                if listening is not self.bound:
+                    return
                 self.log("accept-failed", f"ops: {error}")
                 gevent.sleep(ACCEPT_RETRY_S)
                 continue
-            spawn(self.log, "ops", lambda sock=sock: self.serve(sock))  # type: ignore[misc]
+            self.spawn_server(sock)
+
+    def spawn_server(self, sock: socket.socket) -> None:
+        """Serve a connection in a greenlet of its own."""
+        spawn(self.log, "ops", lambda: self.serve(sock))
 
     def serve(self, sock: socket.socket) -> None:
         """Run one connection's greenlet."""
--- a/harrieryoke/parts.py
+++ b/harrieryoke/parts.py
@@ -29,6 +29,18 @@
     def blocking_send(self, message: Any) -> bool: ...
 
 
+class OpsPart(Part, Protocol):
+    """The operators' HTTP. During an upgrade only the process that serves listens at its address."""
+
+    def open(self, shared: bool) -> None:
+        """Bind the address, `shared` with other processes. Raises OSError. Must precede `start`."""
+        ...
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class BrokerPart(Part, Protocol):
     """The front that accepts calls from an MQTT broker.
 
@@ -150,7 +162,7 @@
     broker: BrokerPart | None = None
     gate: GatePart | None = None
     door: DoorPart | None = None
-    ops: Part | None = None
+    ops: OpsPart | None = None
     ledger: LedgerPart | None = None
     council: CouncilPart | None = None
 
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -67,9 +67,14 @@
         self.reload_done.set()
 
     def start(self) -> None:
-        """Start all parts. Raises ConfigError if a listener cannot be opened."""
+        """Start all parts. Raises ConfigError if a listener cannot be opened.
+
+        Whatever can fail precedes the acceptance of calls, and so the word to a process that serves now: if
+        this one ends before, the other goes on with all its clients.
+        """
         self.start_management()
         self.open_council()
+        self.open_ops()
         listening, banned = self.take_over_listener()
         ban_versions = {} if self.upgrade is None else self.upgrade.ban_versions()
         self.hosts.load_initial(self.config.known, banned, self.config.file_written_at, ban_versions)
@@ -81,17 +86,22 @@
         self.bus.start()
         if self.upgrade is not None:
             self.upgrade.restore_state()
+        for part in (self.parts.ledger, self.broker):
+            if part is not None:
+                part.start()
+        if self.parts.council is not None:
+            self.start_council(self.parts.council)
+        try:
+            if self.parts.ops is not None:
+                self.parts.ops.start()
+        except OSError as error:
+            raise ConfigError(f"ops.listen: {error}") from None
         try:
             self.front.start(listening, shared=self.upgrade is not None)
         except OSError as error:
             raise ConfigError(f"RELAY_LISTEN: {error}") from None
         if self.upgrade is not None:
             self.upgrade.start()
-        for part in (self.parts.ledger, self.broker, self.parts.ops):
-            if part is not None:
-                part.start()
-        if self.parts.council is not None:
-            self.start_council(self.parts.council)
         self.log("started", f"listening on {self.config.listen[0]}:{self.config.listen[1]}")
 
     def open_council(self) -> None:
@@ -102,6 +112,16 @@
             except ValueError as error:
                 raise ConfigError(f"council: {error}") from None
 
+    def open_ops(self) -> None:
+        """Bind the address of the operators' HTTP. Must precede the takeover of the listener."""
+        if self.parts.ops is not None:
+            try:
+                self.parts.ops.open(shared=self.config.upgrade_folder is not None)
+            except OSError as error:
+                raise ConfigError(
+                    f"ops.listen: {error}; give it another address, or end the process that has it"
+                ) from None
+
     def start_council(self, council: CouncilPart) -> None:
         """Start the council, after the parts that perform its duties."""
         try:
@@ -139,7 +159,7 @@
         from .upgrade.link import Upgrade
 
         path = folder / "harrieryoke-{}-{}".format(*self.config.listen)
-        self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log, self.broker)
+        self.upgrade = Upgrade(path, self.front, self.core, self.hosts, self.limits, self.log, self.parts)
         return self.upgrade.take_over()
 
     def run(self) -> int:
--- a/harrieryoke/store/actor.py
+++ b/harrieryoke/store/actor.py
@@ -15,7 +15,7 @@
 from ..log import Log
 from .decide.segment import Record
 from .files import Directory, DiskDirectory
-from .settings import StoreSettings
+from .settings import StoreError, StoreSettings
 from .store import Recovery, Store
 
 T = TypeVar("T")
@@ -39,7 +39,7 @@
     ) -> None:
         """Opens the store and recovers it, synchronously. Raises StoreError."""
         self.settings, self.log = settings, log
-        self.store = Store(directory or DiskDirectory(settings.folder), settings, now_ms(), visit, restore)
+        self.store = Store(directory or create_folder(settings), settings, now_ms(), visit, restore)
         # The limit is enforced here, so that a refusal is immediate; the store's thread must never refuse.
         self.store.commit.max_pending_bytes = 1 << 62
         self.max_pending_bytes = int(settings.queue_mb * 2**20)
@@ -194,3 +194,11 @@
             "failing": self.failure,
             "damaged": len(self.store.recovery.damaged),
         }
+
+
+def create_folder(settings: StoreSettings) -> Directory:
+    """The store's folder, created if it is missing. Raises StoreError."""
+    try:
+        return DiskDirectory(settings.folder)
+    except OSError as error:
+        raise StoreError(f"store.folder: {error}") from None
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -35,7 +35,7 @@
 from ..net.bans import BanChanged
 from ..net.hostlist import Ban, HostListActor
 from ..net.platform import ConnectionAccepted, PlatformFront, ResumeAccepting, TransferClients
-from ..parts import BrokerPart
+from ..parts import Parts
 from .bans import BanFile, BansError
 from .handover import READ_BYTES, Predecessor, request_handover, short_socket_path
 from .messages import (
@@ -67,7 +67,7 @@
         hosts: HostListActor,
         limits: Limits,
         log: Log,
-        broker: BrokerPart | None = None,
+        parts: Parts | None = None,
     ) -> None:
         """`path` is the common prefix of the socket and of the file of bans."""
         super().__init__("upgrade", limits.list_mailbox, log)
@@ -81,7 +81,8 @@
         hosts.on_ban_changed = self.record_ban
         self.untold_bans: dict[str, BanChanged] = {}  # the last change of each host that links wait for
         self.successor: Link | None = None  # the process that has taken over
-        self.broker = broker
+        self.broker = None if parts is None else parts.broker
+        self.ops = None if parts is None else parts.ops
         self.session_heir: Link | None = None  # the process that gets the session at the broker
         self.session_sent = Event()  # the heir has been told that it may connect to the broker
         self.stopping = False
@@ -257,6 +258,8 @@
             return
         self.log("taken-over", "another process serves; calls accepted here are answered here")
         self.successor = link
+        if self.ops is not None:
+            self.ops.pause()
         self.front.blocking_send(
             TransferClients(lambda sock, name: self.blocking_send(ClientReleased(sock, name)))
         )
@@ -340,6 +343,8 @@
             self.successor = None
             # the path may hold the successor's stale socket: the next process would not find this one
             self.listen()
+            if self.ops is not None:
+                self.ops.resume()
             self.front.blocking_send(ResumeAccepting())
             self.core.blocking_send(ActiveChanged(True))
 
--- a/tests/test_broker_session.py
+++ b/tests/test_broker_session.py
@@ -14,6 +14,7 @@
 from harrieryoke.broker_session import AnsweredMessage, BrokerSession, KeptAnswer, split_answers
 from harrieryoke.limits import Limits
 from harrieryoke.mqtt.memory import FinalAnswer, KeyCache
+from harrieryoke.parts import Parts
 from harrieryoke.upgrade.link import Upgrade
 from harrieryoke.upgrade.messages import (
     PEER_MESSAGE_DECODER,
@@ -80,7 +81,7 @@
         self.socket, self.broker = RecordingSocket(), broker
         front: Any = StubMailbox()
         part: Any = broker
-        self.upgrade = Upgrade(folder / "x", front, front, front, Limits(), SilentLog(), part)
+        self.upgrade = Upgrade(folder / "x", front, front, front, Limits(), SilentLog(), Parts(broker=part))
         self.link = Link(self.socket)
         self.upgrade.links.append(self.link)
 
