Make corrections of the ledger one after the other

Cause: correct reads what the entry has come to, waits for the disk, and writes the difference to what it read; a second call reads the same sum meanwhile.

--- a/harrieryoke/ledger/operator_changes.py
+++ b/harrieryoke/ledger/operator_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from ..store.store import Store
 from .actor import LedgerActor
@@ -23,6 +24,7 @@
 
     def __init__(self, ledger: LedgerActor) -> None:
         self.ledger = ledger
+        self.correcting = BoundedSemaphore()  # from the reading of earlier corrections to the next one's end
 
     def close_period(self, number: int) -> str:
         """Seals a period that is over and returns its digest. Raises PeriodError or NotDurableError."""
@@ -33,8 +35,17 @@
         return digest
 
     def correct(self, entry_id: EntryId, corrected: Amounts, reason: str) -> Entry:
-        """Adds the entry that brings a call to other amounts. Raises BookError if the old one is not stored
-        or can't be corrected, and NotDurableError."""
+        """Adds the entry that brings a call to other amounts, after corrections that were asked for before.
+        Raises BookError if the old one is not stored or can't be corrected, and NotDurableError."""
+        if not self.correcting.acquire(timeout=CONFIRM_TIMEOUT_S):
+            raise NotDurableError(f"{entry_id} was not corrected: an earlier correction has not ended yet")
+        try:
+            return self.add_correction(entry_id, corrected, reason)
+        finally:
+            self.correcting.release()
+
+    def add_correction(self, entry_id: EntryId, corrected: Amounts, reason: str) -> Entry:
+        """Reads what the entry has come to, and adds the difference."""
         store_writer = self.ledger.store_writer
         if store_writer is None:
             raise BookError("corrections need a [store]")
@@ -45,12 +56,15 @@
             raise BookError(f"{entry_id} is not in the store")
         old = next(candidate for candidate in entries if candidate.id == entry_id)
         earlier = sum((candidate.amounts for candidate in entries), Amounts())
+        if corrected == earlier:
+            by = f" by {entries[-1].id}" if len(entries) > 1 else ""
+            raise BookError(f"{entry_id} already has these amounts{by}")
 
-        def add_correction() -> tuple[Entry, int]:
+        def write() -> tuple[Entry, int]:
             entry = self.ledger.add_correction(old, earlier, corrected, reason, root)
             return entry, self.ledger.last_seq()
 
-        correction, seq = self.ledger.run_in_actor(add_correction)
+        correction, seq = self.ledger.run_in_actor(write)
         self.confirm(seq, f"{correction.id} corrects {entry_id}, but is not durable yet")
         return correction
 
--- a/tests/test_ledger_confirmations.py
+++ b/tests/test_ledger_confirmations.py
@@ -136,3 +136,16 @@
     assert code == 400 and "already" in answer["error"], answer
     rig.part.stop()
     assert stored(tmp_path, kind) == 1
+
+
+def test_corrections_of_one_entry_at_once_are_applied_once(tmp_path: Path) -> None:
+    """Guards against corrections that each take the sum before the others (issue 46, 4)."""
+    rig = start_rig(tmp_path, "group")
+    answers: list[Answer] = []
+    callers = [gevent.spawn(lambda: answers.append(correct(rig))) for _ in range(10)]
+    gevent.joinall(callers)
+    totals = rig.part.actor.request_status(1000)["totals"]
+    rig.part.stop()
+    (made,) = [answer["id"] for code, answer in answers if code == 200]
+    assert [made in answer["error"] for code, answer in answers if code == 400] == 9 * [True], answers
+    assert sum(row["calls"] for row in totals) == 2 and stored(tmp_path, CORRECTION) == 1
