--- a/harrieryoke/ledger/operator_changes.py
+++ b/harrieryoke/ledger/operator_changes.py
@@ -52,9 +52,10 @@
         # earlier corrections are read from the store, which finds what was written to it
         self.confirm(self.ledger.run_in_actor(self.ledger.last_seq), f"{entry_id} was not corrected")
         root, entries = store_writer.run_in_thread(lambda store: find_with_corrections(store, entry_id))
-        if not entries:
-            raise BookError(f"{entry_id} is not in the store")
-        old = next(candidate for candidate in entries if candidate.id == entry_id)
+        old = next((candidate for candidate in entries if candidate.id == entry_id), None)
+        if old is None:
+            missing = "can't be read any more" if entries else "is not in the store"
+            raise BookError(f"{entry_id} {missing}")
         earlier = sum((candidate.amounts for candidate in entries), Amounts())
         if corrected == earlier:
             by = f" by {entries[-1].id}" if len(entries) > 1 else ""
--- a/tests/test_ledger_confirmations.py
+++ b/tests/test_ledger_confirmations.py
@@ -11,7 +11,7 @@
 import pytest
 
 from harrieryoke.ledger import operator_changes
-from harrieryoke.ledger.decide.entry import CORRECTION
+from harrieryoke.ledger.decide.entry import CORRECTION, EntryId
 from harrieryoke.ledger.decide.ledger import PERIOD_SEALED
 from harrieryoke.store.commands import open_reader
 from harrieryoke.store.store import Store
@@ -149,3 +149,17 @@
     (made,) = [answer["id"] for code, answer in answers if code == 200]
     assert [made in answer["error"] for code, answer in answers if code == 400] == 9 * [True], answers
     assert sum(row["calls"] for row in totals) == 2 and stored(tmp_path, CORRECTION) == 1
+
+
+def test_a_correction_whose_own_entry_is_unreadable_is_turned_down(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that ends without an answer: the root of the entry is there, it is not."""
+    rig = start_rig(tmp_path, "group")
+    epoch, store_writer = rig.part.actor.epoch, rig.part.actor.store_writer
+    assert store_writer is not None
+    others = operator_changes.find_with_corrections(store_writer.store, EntryId("n1", epoch, 2))
+    monkeypatch.setattr(operator_changes, "find_with_corrections", lambda store, id: others)
+    code, answer = correct(rig)
+    rig.part.stop()
+    assert code == 400 and "can't be read" in answer["error"], answer
