--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -300,7 +300,7 @@
     def answer_operator(self, method: str, path: str, query: Mapping[str, str]) -> tuple[int, Any]:
         """Answer an HTTP request of an operator: the status and the JSON body."""
         if path == "/healthz":
-            healthy = not self.stop_requested.is_set() and not self.core.finished
+            healthy = self.is_serving() and not self.core.finished
             return 200 if healthy else 503, {"healthy": healthy}
         if path.startswith("/plugins"):
             if self.gate is None:
