Forget functions of which nothing is known once their last request has ended

What callers saw: one client that calls ever new functions, and gives most calls up, makes the memory grow without end (27 MB at the start, 114 MB after 20 s, 5 MB a second); the process passes its limit.

Cause: the router kept a record of each new name for eight keep-alives (65 s), and the two scheduled tasks of each request until its deadline, with the records they refer to. The class: state by a name that others choose, bounded by time and not by count or bytes.

Why it works: a function without copies, orders, attempts or pauses has nothing that its next request would not bring again, so it goes with its last request. What is known of others is bounded by the memory (`function_bytes`), and those unused longest go first. Tasks of ended requests are removed once they are the larger part of the heap.

Related, found on the way: an attempt that was not sent because its request had ended put its host on hold, for up to half a second, for all other clients.

--- a/harrieryoke/config.py
+++ b/harrieryoke/config.py
@@ -169,6 +169,7 @@
     limits = read_limits(
         platform_file.limits, platform_file.settings, {} if operator is None else operator.limits
     )
+    settings = replace(settings, function_bytes=limits.function_bytes())
     if operator is not None:
         operator.check(settings, limits)
     management = env.get("RELAY_MANAGEMENT") or platform_file.management
--- a/harrieryoke/copy_width.py
+++ b/harrieryoke/copy_width.py
@@ -75,6 +75,7 @@
         """Notes that the worker has the function loaded; a count of 0 means that it was not reported."""
         if not function.copies:
             self.schedule(self.settings.keep_alive / 4, self.maintain_copies, function)
+        function.has_history = True
         copy = function.copies.setdefault(worker_id, Copy(1, self.now))
         copy.last_seen, copy.count = self.now, max(1, count or copy.count)
         function.missed_until.pop(worker_id, None)
@@ -86,6 +87,8 @@
         Copies are kept longer where more front ends may use them. Each front end renews with a probability of
         one in the number of front ends, or always if it is the only user.
         """
+        if function.forgotten:
+            return
         keep_alive, front_ends = self.settings.keep_alive, self.settings.front_ends
         for worker_id, copy in list(function.copies.items()):
             expired = self.now - copy.last_seen > keep_alive * max(1, front_ends / 4)
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -134,6 +134,7 @@
     memory_by_kind: tuple[float, ...] = ()
     reports_copy_lookup: bool = False
     reports_concurrent_requests: bool = False
+    function_bytes: float = 64 * 2.0**20  # memory for what is remembered of functions
 
     def __post_init__(self) -> None:
         """Raises ValueError that names the first invalid field."""
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+PROCESS_MB = 24  # resident after the start, before anybody has connected
+
 
 @dataclass(slots=True)
 class Limits:
@@ -66,3 +68,14 @@
     figures_ms: float = 400.0  # maximum age of gauges that are computed on demand
     recount_ms: float = 100.0  # minimum time between two computations of them
     class_slots: int = 1024  # class definitions since startup; each keeps its index
+    function_share: float = (
+        0.125  # share of the memory beyond the bare process for what is known of functions
+    )
+
+    def spare_bytes(self) -> int:
+        """Return the memory beyond what the bare process needs, or a little where there is none."""
+        return max(self.memory_mb - PROCESS_MB, 1) * 2**20
+
+    def function_bytes(self) -> float:
+        """Return the memory for what the router remembers of functions."""
+        return self.function_share * self.spare_bytes()
--- a/harrieryoke/net/hostlist_model.py
+++ b/harrieryoke/net/hostlist_model.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
+from _blake2 import blake2b
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from hashlib import blake2b
 from typing import Annotated
 
 import msgspec
--- a/harrieryoke/router.py
+++ b/harrieryoke/router.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from .copy_width import CopyPlacement, adapt_copy_width
+from .function_table import make_room
 from .interface import (
     Action,
     AttemptEnded,
@@ -43,6 +44,7 @@
 FORGET_KEEP_ALIVES = 8.0  # keep-alives without use until a function is forgotten
 MAX_REQUESTS_PER_SLOT = 3  # of this front end at a copy, with the queued ones
 PREWARM_LIMIT_SHARE = 0.5  # of the order limit
+TASKS_OF_REQUEST = 2  # scheduled for each request: its early refusal and its rejection
 LOAD_DURATION_SHARE = 0.3  # of the load time; shorter answers come from a copy that was already loaded
 
 # weights of a new value in exponential moving averages
@@ -239,7 +241,11 @@
 
     def dispatch_again(self, function: Function) -> None:
         """Has the function dispatched at the end of this round."""
-        function.dispatch_scheduled, self.functions_to_dispatch[function.name] = False, function
+        function.dispatch_scheduled = False
+        if function.is_blank(self.now):
+            self.forget_function(function)
+        if not function.forgotten:
+            self.functions_to_dispatch[function.name] = function
 
     # --- requests, attempts and final answers ---
 
@@ -255,19 +261,26 @@
         self.total_idle_time += gap if gap > self.settings.keep_alive / 8 else 0.0
         self.recent_calls = 1 + self.recent_calls * exp2(-gap / self.settings.keep_alive / 0.69)
         if (function := self.functions.get(event.function)) is None:
-            self.schedule(FORGET_KEEP_ALIVES * self.settings.keep_alive, self.forget_unused, event.function)
+            make_room(self, self.settings)
             load_time = event.load_time or request_class.latency_target
             mean_duration = request_class.latency_target / 4
             function = Function(
                 event.function, digest(event.function), event.class_index, load_time, mean_duration
             )
             self.functions[event.function] = function
+            self.schedule(FORGET_KEEP_ALIVES * self.settings.keep_alive, self.forget_unused, function)
         function.memory, function.slots = event.memory, max(1, event.slots)
         function.last_used = self.now - self.total_idle_time
         advised_target = event.latency_target or request_class.latency_target
         target_time = arrived_at + min(request_class.latency_target, advised_target)
         request = self.requests[event.request] = Request(
-            event, request_class, arrived_at, target_time, request_class.worth, self.settings.max_attempts
+            event,
+            request_class,
+            arrived_at,
+            target_time,
+            request_class.worth,
+            self.settings.max_attempts,
+            function,
         )
         bucket = self.tenant_buckets.get(event.tenant)
         if bucket and (rate := bucket.rate_per_s):
@@ -276,21 +289,16 @@
                 request.worth *= self.settings.over_share_worth
         self.enqueue(function, request)
 
-    def forget_unused(self, name: str) -> None:
+    def forget_unused(self, function: Function) -> None:
         """Removes a function long unused with nothing in progress; bounds memory after one-time calls."""
-        function, keep_alive = self.functions[name], self.settings.keep_alive
+        if function.forgotten:
+            return
+        keep_alive = self.settings.keep_alive
         remaining = FORGET_KEEP_ALIVES * keep_alive - (self.now - self.total_idle_time - function.last_used)
-        in_use = (
-            function.waiting
-            or function.copies
-            or function.pending_orders
-            or any(function.own_in_flight.values())
-        )
-        if remaining <= 0 and not in_use:
-            if len(self.functions) > 1:  # one must stay: a query to an ejected worker has to name a function
-                del self.functions[name]
+        if remaining <= 0 and not (function.copies or function.in_use()):
+            self.forget_function(function)
         else:
-            self.schedule(max(remaining, keep_alive), self.forget_unused, name)
+            self.schedule(max(remaining, keep_alive), self.forget_unused, function)
 
     def enqueue(self, function: Function, request: Request) -> None:
         """Queues a request and schedules its early refusal and its rejection before the deadline."""
@@ -298,12 +306,11 @@
         self.functions_to_dispatch[function.name] = function
         lifetime = request.event.deadline - request.arrived_at
         refusal_time = request.arrived_at + EARLY_REFUSAL_SHARE * lifetime
-        self.schedule(max(0.0, refusal_time - self.now), self.give_up_early, (function, request))
+        self.schedule(max(0.0, refusal_time - self.now), self.give_up_early, request)
         self.schedule(request.event.deadline - 2 * self.dispatch_interval - self.now, self.reject, request)
 
-    def give_up_early(self, waiting: tuple[Function, Request]) -> None:
+    def give_up_early(self, request: Request) -> None:
         """Rejects a request that cannot be answered by its deadline, or that no attempt or order serves."""
-        function, request = waiting
         if request.done or request.in_flight:
             return
         remaining = request.event.deadline - self.now
@@ -312,9 +319,9 @@
             for worker in self.workers.values()
             if self.is_usable(worker)
         )
-        if not in_time or not (request.attempt_count or function.pending_orders):
+        if not in_time or not (request.attempt_count or request.function.pending_orders):
             return self.reject(request)
-        self.schedule(4 * self.dispatch_interval, self.give_up_early, waiting)
+        self.schedule(4 * self.dispatch_interval, self.give_up_early, request)
 
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         """Learns from the outcome, then closes, retries or rejects the request."""
@@ -333,6 +340,8 @@
             retry = has_time and request.attempt_count < request.max_attempts
             retry = retry and any(self.may_send(request, other) for other in self.workers.values())
             self.enqueue(function, request) if retry else self.reject(request)
+        elif function.is_blank(self.now):
+            self.forget_function(function)
 
     def learn_from_attempt(
         self, event: AttemptEnded, worker: Worker, function: Function, request: Request | None, sent_at: float
@@ -346,7 +355,9 @@
         if event.outcome is Outcome.NO_CONNECTION:
             self.eject(worker, unreachable=True)
         elif event.outcome is Outcome.NOT_SENT:
-            worker.hold_off.extend(self.now, self.settings.connect_timeout)
+            # if the request has ended, it was not sent for that reason, which says nothing about the worker
+            if request is not None:
+                worker.hold_off.extend(self.now, self.settings.connect_timeout)
         elif event.outcome is Outcome.RESET:
             self.on_connection_reset(worker)
         elif event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
@@ -420,3 +431,16 @@
                 self.withdraw_arrival(request.arrived_at)
             for attempt in request.in_flight:
                 self.cancel_attempt(event.request, attempt)
+            self.stale_tasks += TASKS_OF_REQUEST
+            self.leave_function(request)
+
+    def leave_function(self, request: Request) -> None:
+        """Has a function forgotten of which nothing is known, once its last request has ended.
+
+        Otherwise ever new names would be kept for as long as functions that were served.
+        """
+        function = request.function
+        if request in function.waiting:
+            function.waiting.remove(request)
+        if function.is_blank(self.now):
+            self.forget_function(function)
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from _blake2 import blake2b
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
-from hashlib import blake2b
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import inf
 from typing import Any, NamedTuple
 
@@ -17,6 +17,7 @@
 from .work_lease import ListAge, WorkLease
 
 NEVER = -1e18  # a time before all others
+MIN_STALE_TASKS = 256  # fewer are not worth a pass over all scheduled tasks
 
 
 def count_since(times: deque[float], since: float) -> int:
@@ -116,7 +117,7 @@
         return entry is not self.entry and stamp is not None and stamp == self.entry.start_stamp
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Function:
     """What is known of one function from its requests and answers."""
 
@@ -131,6 +132,8 @@
     copy_width: float = 1.0  # number of workers that should have copies
     sole_user: bool = False  # a copy expired between own requests: no other front end renews it
     dispatch_scheduled: bool = False
+    has_history: bool = False  # a copy was known at some time
+    forgotten: bool = False  # no longer in the table of functions
     copies: dict[int, Copy] = field(default_factory=dict)
     own_in_flight: dict[int, int] = field(default_factory=dict)  # by worker
     pending_orders: dict[int, float] = field(default_factory=dict)  # worker -> time of the order
@@ -140,8 +143,19 @@
     placement_order: list[int] = field(default_factory=list)
     placement_order_expires: float = NEVER  # the order changes while workers warm up
 
+    def in_use(self) -> bool:
+        """Whether a request waits for it, or an attempt or order of it is in progress."""
+        return bool(self.waiting or self.pending_orders or any(self.own_in_flight.values()))
 
-@dataclass(slots=True)
+    def is_blank(self, now: float) -> bool:
+        """Whether nothing is known of it that its next request would not bring again."""
+        if self.has_history or self.dispatch_scheduled or self.in_use():
+            return False
+        pauses = (*self.load_failed_until.values(), *self.missed_until.values())
+        return all(until <= now for until in pauses)
+
+
+@dataclass(slots=True, eq=False)
 class Request:
     """A request without a final answer."""
 
@@ -151,6 +165,7 @@
     target_time: float  # later answers earn the late worth
     worth: float  # of an answer by the target time; reduced over the tenant's share
     max_attempts: int
+    function: Function
     attempt_count: int = 0
     in_flight: dict[int, int] = field(default_factory=dict)  # attempt -> worker
     possible_runs: list[PossibleRun] = field(default_factory=list)
@@ -187,6 +202,7 @@
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.scheduled: list[tuple[float, int, Callable[[Any], None], Any]] = []  # heap
+        self.stale_tasks = 0  # about how many scheduled tasks have nothing to do any more
         self.functions_to_dispatch: dict[str, Function] = {}
         self.order_times: deque[float] = deque()
         self.arrival_times: deque[float] = deque()
@@ -290,7 +306,30 @@
         """Runs the tasks that are due."""
         while self.scheduled and self.scheduled[0][0] <= self.now:
             _, _, action, argument = heappop(self.scheduled)
+            self.stale_tasks -= self.stale_tasks > 0 and self.is_stale(argument)
             action(argument)
+        if self.stale_tasks > max(MIN_STALE_TASKS, len(self.scheduled) // 2):
+            self.scheduled = [task for task in self.scheduled if not self.is_stale(task[3])]
+            heapify(self.scheduled)
+            self.stale_tasks = 0
+
+    def is_stale(self, argument: object) -> bool:
+        """Whether a scheduled task with this argument has nothing to do any more.
+
+        Such tasks would keep the records of ended requests until their deadlines.
+        """
+        if isinstance(argument, Request):
+            return argument.done
+        if isinstance(argument, Function):
+            return argument.forgotten
+        return isinstance(argument, tuple) and argument not in self.attempts
+
+    def forget_function(self, function: Function) -> None:
+        """Removes a function, unless it is the last one: a query to an ejected worker has to name one."""
+        if len(self.functions) > 1 and not function.forgotten:
+            del self.functions[function.name]
+            function.forgotten = True
+            self.stale_tasks += 1
 
     def set_timer(self) -> None:
         """Requests a timer for the next scheduled task unless one is set."""
--- a/harrieryoke/state_transfer.py
+++ b/harrieryoke/state_transfer.py
@@ -264,8 +264,9 @@
     )
     function.last_used = router.now - router.total_idle_time - max(0.0, state.age)
     function.copy_width, function.sole_user = state.copy_width, state.sole_user
+    function.has_history = True
     router.functions[function.name] = function
-    router.schedule(FORGET_KEEP_ALIVES * router.settings.keep_alive, router.forget_unused, function.name)
+    router.schedule(FORGET_KEEP_ALIVES * router.settings.keep_alive, router.forget_unused, function)
     for copy in state.copies:
         if copy.worker in unchanged:
             router.record_copy(function, copy.worker)
--- /dev/null
+++ b/tests/test_function_table.py
@@ -0,0 +1,103 @@
+"""What the router remembers of functions is bounded, whatever names requests bring."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harrieryoke.function_table import max_functions
+from harrieryoke.interface import (
+    AttemptEnded,
+    ListScope,
+    OrderCopies,
+    OrderEnded,
+    Outcome,
+    RequestArrived,
+    RequestDropped,
+    StartAttempt,
+    TimerFired,
+    WorkersListed,
+)
+from harrieryoke.router import Router
+from harrieryoke.state import MIN_STALE_TASKS
+
+from .rig import SETTINGS, workers
+
+WORKERS = 4
+SMALL = replace(SETTINGS, function_bytes=20_000, order_limit_window=0.0)
+
+
+class Names:
+    """A router that gets requests under new names; its workers end orders and attempts as the test says."""
+
+    def __init__(self) -> None:
+        self.router, self.now, self.last = Router(SMALL, 1), 1000.0, 0
+        self.router.handle(self.now, [WorkersListed(ListScope.REMEMBERED, workers(WORKERS))])
+
+    def ask(self, name: str, outcome: Outcome, withdrawn: bool) -> None:
+        self.last += 1
+        self.now += 3.0
+        arrival = RequestArrived(self.last, 0, name, self.now + 2000, None, None, 400, 4, 100)
+        actions = self.router.handle(self.now, [arrival])
+        if withdrawn:
+            actions += self.router.handle(self.now + 1, [RequestDropped(self.last)])
+        for _ in range(8):
+            ended = [event for a in actions if (event := self.end(a, outcome)) is not None]
+            self.now += 1.0
+            actions = self.router.handle(self.now, [*ended, TimerFired("agenda")])
+
+    def end(self, action: object, outcome: Outcome) -> OrderEnded | AttemptEnded | None:
+        if isinstance(action, OrderCopies):
+            copies = int(outcome is Outcome.OK)
+            return OrderEnded(action.worker, action.function, outcome, copies, 100.0)
+        if isinstance(action, StartAttempt):
+            served = outcome is Outcome.OK
+            return AttemptEnded(action.request, action.worker, 0, outcome, 5.0, served)
+        return None
+
+
+# Guards against memory that grows with the rate of new names, as each was kept for eight keep-alives.
+@given(
+    st.lists(st.tuples(st.sampled_from([Outcome.OK, Outcome.MISS, Outcome.FULL]), st.booleans()), max_size=60)
+)
+def test_functions_and_tasks_stay_bounded_under_ever_new_names(ends: list[tuple[Outcome, bool]]) -> None:
+    names, limit = Names(), max_functions(SMALL, WORKERS)
+    for number, (outcome, withdrawn) in enumerate(ends):
+        names.ask(f"f{number}", outcome, withdrawn)
+        idle = sum(not function.in_use() for function in names.router.functions.values())
+        assert idle <= limit
+    assert all(names.router.functions[f.name] is f for f in names.router.functions.values())
+
+
+# Guards against records of ended requests that stay until their deadline in the scheduled tasks.
+def test_withdrawn_requests_under_new_names_leave_nothing_behind() -> None:
+    names = Names()
+    for number in range(3000):
+        names.last += 1
+        names.now += 0.1
+        names.router.handle(
+            names.now,
+            [RequestArrived(names.last, 0, f"f{number}", names.now + 4000, None, None, 400, 4, 100)],
+        )
+        names.router.handle(names.now, [RequestDropped(names.last)])
+    router = names.router
+    router.handle(names.now + 100, [TimerFired("agenda")])
+    idle = [function for function in router.functions.values() if not function.in_use()]
+    assert len(idle) <= 1 and not router.requests
+    assert len(router.scheduled) <= 2 * MIN_STALE_TASKS
+
+
+# Guards against a host that is left alone because the clients of attempts at it went before they were sent.
+def test_attempt_not_sent_for_a_request_that_has_ended_says_nothing_about_its_worker() -> None:
+    names = Names()
+    for _ in range(3):
+        names.ask("f", Outcome.OK, withdrawn=False)
+    names.last += 1
+    arrival = RequestArrived(names.last, 0, "f", names.now + 2000, None, None, 400, 4, 100)
+    (attempt,) = [a for a in names.router.handle(names.now, [arrival]) if isinstance(a, StartAttempt)]
+    names.router.handle(names.now, [RequestDropped(names.last)])
+    ended = AttemptEnded(names.last, attempt.worker, 0, Outcome.NOT_SENT, 1.0, True)
+    names.router.handle(names.now, [ended])
+    assert not names.router.workers[attempt.worker].hold_off.is_active(names.now)
