Ask the connection itself, directly before an attempt's first byte, whether the client is still there

What callers saw: requests of a client that closed, reset or half-closed its connection with much unread were sent on after it had left.

Cause: whether a client has left was known only once its reader got there: the end lies behind all that is unread, and was looked for beforehand only while the mailbox was full. The class: a decision is taken from what was read, not from what is true when it takes effect.

Why it works: the host's actor asks the connection before the first byte of each attempt, so first attempts, retries and second ones, in an upgrade and at a stop. The kernel tells of an end behind unread bytes; a giveUp is looked for in the lines that are not handled and in the unread bytes. If the client sent more than its connection takes, not even the kernel knows of its end: if such bytes were unread for 100 ms the call is answered (refused, or failed where it may have run) and not sent.

The router hears of the client's end before the end of the attempt that was not sent, so that it does not hold the host off for it.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -332,10 +332,19 @@
                 self.log("probe", f"{self.host_name(task.worker)} takes no new work: {message.outcome.value}")
             return i.ProbeEnded(task.worker, message.outcome, duration, message.report)
         entry = self.table.entries.get(task.request)
+        if entry is not None and message.outcome is i.Outcome.NOT_SENT and entry.call.abandoned:
+            # The client has left: the router has to know that first, or it would take it as the host's fault.
+            dropped = self.table.withdraw(entry.call)
+            self.pending_events.append(self.attempt_ended(task, message, duration))
+            return dropped
         if entry is not None and (message.outcome is i.Outcome.MISS or message.copy_lookup in LOAD_LOOKUPS):
             entry.call.waited_for_load = True
         if entry is not None and message.outcome is i.Outcome.OK:
             self.table.serve(entry, message.body)
+        return self.attempt_ended(task, message, duration)
+
+    def attempt_ended(self, task: AttemptTask, message: TaskEnded, duration: float) -> i.AttemptEnded:
+        """Return the router's event for the end of an attempt."""
         return i.AttemptEnded(
             task.request,
             task.worker,
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -37,6 +37,17 @@
     waited_for_load: bool = False  # its duration says nothing about the capacity of the hosts
     client: str = ""  # identity of the client at its front
     abandoned: bool = False  # the client has gone; set by the front, read by the senders
+    started: bool = False  # the first byte of an attempt was written; set by the senders
+    class_name: str = ""
+    origin: CallOrigin | None = None  # tells of a client that may leave; None if it waits in any case
+
+
+class CallOrigin(Protocol):
+    """The connection that a call came by."""
+
+    def has_withdrawn(self, call: Call) -> bool:
+        """Return whether the client has left or given the call up, also where that is not handled yet."""
+        ...
 
 
 class Front(Protocol):
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import select
-import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,34 +26,19 @@
     REFUSED,
     BadRequestError,
     CallParams,
-    GiveUpParams,
     Message,
     decode_message,
     parse_props,
 )
 from .outgoing import OutgoingQueue
+from .unread import InputState, given_up_id, gives_up, has_hung_up, input_state, ms_since_data, peek
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while the mailbox is full
 MAX_UNSENT_MESSAGES = 256
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
-
-
-def unpatched_poll() -> Any:
-    """Return `select.poll` of the standard library.
-
-    gevent's replacement does not support POLLRDHUP. Its monkey patches are not imported here: they would add
-    2 MB to a process that does without them.
-    """
-    patches = sys.modules.get("gevent.monkey")
-    return select.poll if patches is None else patches.get_original("select", "poll")
-
-
-def has_hung_up(sock: socket.socket) -> bool:
-    """Return whether the peer closed, half-closed or reset the connection, even behind unread bytes."""
-    poller = unpatched_poll()()
-    poller.register(sock.fileno(), select.POLLRDHUP)
-    return bool(poller.poll(0))
+QUIET_MS = 2.0  # without data; what was sent before has arrived then
+MAX_UNREAD_MS = 100.0  # after a client has left, no attempt may begin; what it sent may hide that for so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +57,13 @@
     reply: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class CallUnsafe:
+    """The call was not sent: bytes that may say that the client has left were unread for too long."""
+
+    call: Call
+
+
 @dataclass(frozen=True, slots=True)
 class OutputDrained:
     """Everything that could not be written at once has been written."""
@@ -128,6 +118,8 @@
         self.partial = b""  # of a line that is not yet complete
         self.unposted: list[bytes] = []  # complete lines that are not in the mailbox yet, the newest first
         self.received_at = 0.0  # earliest time at which they may have been received
+        self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
+        self.unread_since: float | None = None  # of the bytes read last and what follows them
         # when the client was last active, or the first byte of a partial line was received
         self.last_active = now_ms()
         self.has_sent_line = False  # a complete line was received
@@ -200,7 +192,7 @@
         try:
             while self.post_lines():
                 try:
-                    data = self.sock.recv(self.limits.line_bytes // 4)
+                    data = self.read_some()
                 except TimeoutError as error:
                     if is_kernel_timeout(error):
                         break
@@ -211,6 +203,80 @@
             pass  # a reset counts as the end of the stream
         self.end_connection()
 
+    def read_some(self) -> bytes:
+        """Wait for data and read it; note since when some of it, or of what follows, may have been unread.
+
+        What follows a read without a pause may have waited at the client for space here. Raises OSError.
+        """
+        self.end_quiet()
+        if input_state(self.sock) is InputState.EMPTY:
+            self.quiet_from = now_ms() + QUIET_MS
+            self.sock.recv(1, socket.MSG_PEEK)
+            self.end_quiet()
+        if self.unread_since is None:
+            self.unread_since = now_ms() - ms_since_data(self.sock)
+        data: bytes = self.sock.recv(self.limits.line_bytes // 4)
+        return data
+
+    def end_quiet(self) -> None:
+        """Note that the reader waits no more; if it was quiet, what was sent before has arrived."""
+        if now_ms() > self.quiet_from:
+            self.unread_since = None
+        self.quiet_from = float("inf")
+
+    # --- whether the client is still there ---
+
+    def has_withdrawn(self, call: Call) -> bool:
+        """Return whether nothing may be sent for the call any more; asked directly before its first byte.
+
+        The client's end, or its `giveUp`, may lie behind bytes that are not read yet. Where these were unread
+        for too long, not even the kernel need know of an end, and the call counts as withdrawn.
+        """
+        if call.abandoned or self.finished:
+            return True
+        state = input_state(self.sock)
+        if state is InputState.ENDED:
+            self.end_connection()
+        elif state is InputState.UNREAD:
+            call.abandoned = self.is_given_up(call) or self.must_refuse(call)
+        elif self.unposted or self.mailbox:
+            call.abandoned = self.is_given_up(call)
+        return call.abandoned
+
+    def is_given_up(self, call: Call) -> bool:
+        """Return whether a line that is not handled yet gives the call up."""
+        id = self.ids.get(call)
+        return id is None or gives_up(self.unhandled_lines(), id, call.request_id)
+
+    def unhandled_lines(self) -> Iterator[bytes]:
+        """Yield the lines that are in the mailbox, before it, or still unread."""
+        for message in self.mailbox:
+            if isinstance(message, LineReceived):
+                yield message.data
+        yield from self.unposted
+        yield from (self.partial + peek(self.sock)).split(b"\n")
+
+    def must_refuse(self, call: Call) -> bool:
+        """Return whether bytes were unread for too long to know of the client; the call is answered then."""
+        now = now_ms()
+        since = now - ms_since_data(self.sock)
+        if self.unread_since is not None and now <= self.quiet_from:
+            since = min(since, self.unread_since)
+        return now - since > MAX_UNREAD_MS and self.try_send(CallUnsafe(call))
+
+    def refuse_unsafe_call(self, call: Call) -> None:
+        """Answer a call that was not sent, as the client may have left, and withdraw it."""
+        id = self.ids.get(call)
+        if id is None:
+            return
+        self.log("refused", f"{call.request_id}: {self.name} sends more than is read of it")
+        code, result = (FAILED, "failed") if call.started else (REFUSED, "refused")
+        self.core.metrics.count_final_answer(call.class_name, result)
+        self.core.withdraw(call)
+        self.write_answer(call, {"error": {"code": code, "message": f"{result}: read too slowly"}})
+
+    # --- reading ---
+
     def split_lines(self, data: bytes) -> bool:
         """Store the complete lines and the partial one after them; return False if a line is too long."""
         *complete, partial = data.split(b"\n")
@@ -266,6 +332,8 @@
                     self.handle_line(data, received_at)
             case AnswerReady(call, reply):
                 self.write_answer(call, reply)
+            case CallUnsafe(call):
+                self.refuse_unsafe_call(call)
             case CloseIfIdle(stalled_line_at):
                 self.close_requested, self.stalled_line_at = True, stalled_line_at
             case TransferWhenIdle():
@@ -343,20 +411,18 @@
                 call_params.acct,
                 parse_props(call_params.props),
             )
-            call.client = self.peer
+            call.client, call.class_name, call.origin = self.peer, method, self
             return call
         except (msgspec.MsgspecError, InvalidCallError, ValueError) as error:
             raise BadRequestError(BAD_PARAMS, str(error)) from None
 
     def handle_give_up(self, message: Message) -> None:
         """Withdraw a call, named by its id or its rid; nothing is written for it afterwards."""
+        open_ids = ((open_id, call.request_id) for open_id, call in self.open.items())
         try:
-            params: GiveUpParams = msgspec.json.decode(bytes(message.params), type=GiveUpParams)
+            id = given_up_id(message, open_ids)
         except msgspec.MsgspecError as error:
             raise BadRequestError(BAD_PARAMS, str(error)) from None
-        id = params.id if params.id is not None else message.id
-        if params.rid is not None:
-            id = next((open_id for open_id, call in self.open.items() if call.request_id == params.rid), None)
         if id is not None and (call := self.open.pop(id, None)) is not None:
             del self.ids[call]
             call.abandoned = True
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -14,7 +14,7 @@
 from ..core.clock import now_ms
 from ..core.local_errors import is_kernel_timeout, is_local
 from ..core.metrics import Metrics
-from ..core.records import AttemptTask, OrderTask, Task, TaskEnded
+from ..core.records import AttemptTask, Call, OrderTask, Task, TaskEnded
 from ..limits import Limits
 from ..log import Log
 from . import frames
@@ -106,6 +106,11 @@
     return not isinstance(task, OrderTask) or task.copies == 0
 
 
+def is_withdrawn(call: Call) -> bool:
+    """Return whether the client has left or given the call up, as far as that can be known now."""
+    return call.abandoned or (call.origin is not None and call.origin.has_withdrawn(call))
+
+
 class HostActor(Actor):
     """Serialises all tasks of one model host, so that a silent host delays only its own tasks."""
 
@@ -204,9 +209,9 @@
         now = now_ms()
         if not task.is_open or task.stop_at <= now or task.start_by <= now:
             return False
-        if isinstance(task, AttemptTask) and task.call.abandoned:
+        if not self.status.accepts(task):
             return False
-        return self.status.accepts(task)
+        return not (isinstance(task, AttemptTask) and is_withdrawn(task.call))
 
     def may_drop_copies(self) -> bool:
         return self.status.state is i.WorkerStatus.UP and not self.status.replaced
@@ -275,6 +280,8 @@
 
     def record_started(self, link: Link, id: int, task: Task) -> None:
         link.open[id] = task
+        if isinstance(task, AttemptTask):
+            task.call.started = True
         if link.waiting_since is None and answers_promptly(task):
             link.waiting_since = now_ms()
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import itertools
+import json
 import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 
+import gevent
 import pytest
 from gevent import socket
 
-from harrieryoke.net.client import CloseIfIdle, TransferWhenIdle
+from harrieryoke.net.client import MAX_UNREAD_MS, CloseIfIdle, TransferWhenIdle
+from harrieryoke.net.jsonrpc import REFUSED
 
 from .clients import BODY, Connection, line, until
 
@@ -126,3 +130,36 @@
         assert c.gone.wait(10)
         assert c.log.totals == {"client-lost": 1}
         assert c.core.calls[100].abandoned and 100 in c.core.withdrawn
+
+
+# Guards against attempts for calls whose `giveUp` has come but is not handled yet, wherever it waits.
+@pytest.mark.parametrize("behind", [0, 30, 300], ids=["in the mailbox", "before it", "unread"])
+def test_call_given_up_in_unhandled_bytes_counts_as_withdrawn(behind: int) -> None:
+    with connected() as c:
+        c.send_calls(1, 2)
+        c.core.gate.clear()
+        c.send(line(3), *(line(n, "probe") for n in range(4, 4 + behind)), line(1, "giveUp"))
+        until(lambda: c.actor.mailbox or c.actor.unposted, "unhandled lines")
+        gevent.sleep(0.01)
+        first, second = c.core.calls[1], c.core.calls[2]
+        assert c.actor.has_withdrawn(first) and first.abandoned
+        assert not c.actor.has_withdrawn(second) and not second.abandoned
+        leave(c.sock, "closes")
+        until(lambda: c.actor.has_withdrawn(second), "the end seen at the first byte")
+
+
+# Guards against attempts for a client that may have left behind more bytes than its connection takes.
+def test_call_is_refused_once_bytes_were_unread_for_too_long() -> None:
+    with connected() as c:
+        c.send_calls(1)
+        c.core.gate.clear()
+        c.send(line(2), *(line(n, "probe") for n in range(3, 200)))
+        until(lambda: c.actor.unposted, "a full mailbox")
+        call = c.core.calls[1]
+        assert not c.actor.has_withdrawn(call)
+        gevent.sleep(2 * MAX_UNREAD_MS / 1000)
+        assert c.actor.has_withdrawn(call)
+        c.core.gate.set()
+        until(lambda: 1 in c.core.withdrawn, "withdrawn")
+        answers = [json.loads(text) for text in itertools.islice(c.sock.makefile("rb"), 198)]
+        assert [a["error"]["code"] for a in answers if a["id"] == 1] == [REFUSED]
