Count all memory that others can make the process hold against one limit, by owner

What callers saw: with hundreds of clients that stop half way through a request, send blocks of short lines, leave answers unread or want long ones, the process passes its memory limit and is killed, and usual clients lose calls.

Cause: each connection, link and pool had a bound of its own (a line of 64 KB, 32 bodies, 2 MB of unsent answers, 256 KB of a frame), which their number multiplies; only the bodies of open requests were counted against the memory. The class: limits on parts without a limit on their sum.

Why it works: `memory_budget.py` has one account with a named order of what gives way (reading, then stalled and idle connections, then new calls), and a reserve for answers; no charge passes it. A client's share is an eighth of what is free, so that greedy ones leave room for small requests. The budget is what the settings leave beyond the resident memory measured at the start. Lines wait as bytes and not as objects, a frame of a model host is counted at the size that its header tells, and an answer that can't be held is an error. New connections wait in the backlog while a client that stands still can be closed for them.

--- a/harrieryoke/admin/commands.py
+++ b/harrieryoke/admin/commands.py
@@ -8,6 +8,7 @@
 
 from ..core.metrics import ClassMetrics, Metrics
 from ..errors import EmptyCall, NotText, UnknownCall, WrongArguments
+from ..memory_budget import MemoryBudget
 
 
 class Command(msgspec.Struct, frozen=True):
@@ -28,6 +29,7 @@
         Command("help", (), "names the calls"),
         Command("ready", (), "says whether this process serves"),
         Command("show-stat", (), "tells the figures, then a line 'end'"),
+        Command("show-memory", (), "tells the memory that others hold, by owner, then a line 'end'"),
         Command("disable-server", ("ID",), "leaves a model host out until it is put back"),
         Command("enable-server", ("ID",), "puts a model host back as the list has it"),
     )
@@ -51,6 +53,17 @@
     return command, arguments
 
 
+def format_memory(memory: MemoryBudget, resident: int) -> list[str]:
+    """Return a line for each figure of the memory budget; `resident` is that of the process, in bytes."""
+    owners = [f'invoker_memory_bytes{{owner="{owner.value}"}} {size}' for owner, size in memory.used.items()]
+    return [
+        *owners,
+        f"invoker_memory_budget_bytes {memory.total}",
+        f"invoker_memory_pressure {int(memory.pressure)}",
+        f"invoker_memory_resident_bytes {resident}",
+    ]
+
+
 def format_metrics(metrics: Metrics) -> list[str]:
     """Return a line for each metric. Counters begin at the start of the process."""
     lines = []
--- a/harrieryoke/admin/server.py
+++ b/harrieryoke/admin/server.py
@@ -12,12 +12,14 @@
 from ..core.actor import spawn
 from ..core.clock import now_ms
 from ..core.metrics import Metrics
+from ..core.process_memory import resident_bytes
 from ..errors import Busy, CallTooLong, NotReady, OperatorError, UnfinishedCall, UnknownServer
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import MemoryBudget
 from ..net.hostlist import Ban
 from ..net.listening import wait_for_listener
-from .commands import COMMANDS, format_metrics, parse_command
+from .commands import COMMANDS, format_memory, format_metrics, parse_command
 
 BACKLOG = 128  # connections that the kernel accepts ahead of the listener
 ACCEPT_RETRY_S = 0.05
@@ -45,7 +47,9 @@
         send_to_host_list: Callable[[Ban], bool],
         limits: Limits,
         log: Log,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget(limits.budget_bytes())
         self.address, self.metrics, self.serves = address, metrics, serves
         self.limits, self.log = limits, log
         self.send_to_host_list = send_to_host_list
@@ -54,6 +58,7 @@
             "help": self.help,
             "ready": self.ready,
             "show-stat": self.show_stat,
+            "show-memory": self.show_memory,
             "disable-server": self.disable,
             "enable-server": self.enable,
         }
@@ -147,6 +152,10 @@
         """Return the metrics and the end mark."""
         return [*format_metrics(self.metrics), "end"]
 
+    def show_memory(self) -> list[str]:
+        """Return the memory that others hold, by owner, and the end mark."""
+        return [*format_memory(self.memory, resident_bytes()), "end"]
+
     def disable(self, id: str) -> list[str]:
         """Drain a model host until it is enabled."""
         return self.ban(id, True)
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -12,6 +12,7 @@
 from .. import interface as i
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import MemoryBudget, Owner, request_size
 from ..router import Router
 from .actor import Actor
 from .clock import WallClockWatch, now_ms
@@ -59,6 +60,7 @@
         self.metrics = Metrics(c.name for c in settings.classes)
         self.limits, self.avoided_counted_at = limits, 0.0
         self.table = RequestTable(settings, limits, self.metrics, log)
+        self.memory = MemoryBudget(limits.budget_bytes())
         self.wall_clock = WallClockWatch()
         self.logged_hosts_out = 0  # value last logged
         self.logged_list_current = True  # value last logged
@@ -100,9 +102,18 @@
     # --- calls from the fronts ---
 
     def offer(self, call: Call, front: Front) -> bool:
-        """Accept a call from a front. Blocks while the mailbox is full, which slows the fronts down."""
+        """Accept a call from a front, or refuse it for want of memory.
+
+        Blocks while the mailbox is full, which slows the fronts down.
+        """
+        call.reservation = self.memory.reserve(Owner.REQUESTS, request_size(len(call.body)))
         if self.recorder is not None:
             front = self.recorder.front_for(front)
+        if call.reservation is None:
+            self.log("refused", f"{call.request_id}: no memory on arrival: {self.memory.describe()}")
+            self.table.notify_observers(call, "refused")
+            front.refused(call, self.settings.max_retry_after or None)
+            return True
         return self.pass_gate(call, front) if self.gate is None else self.gate.offer(call, front)
 
     def pass_gate(self, call: Call, front: Front) -> bool:
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from ..interface import CopyLookup, ListConfirmed, LoadReport, Outcome, Settings, WorkersListed
+from ..memory_budget import Reservation
 from ..router import Router
 
 
@@ -39,6 +40,8 @@
     abandoned: bool = False  # the client has gone; set by the front, read by the senders
     started: bool = False  # the first byte of an attempt was written; set by the senders
     class_name: str = ""
+    reservation: Reservation | None = None  # its memory
+    answer_reservation: Reservation | None = None  # the memory of the answer on its way to the client
     origin: CallOrigin | None = None  # tells of a client that may leave; None if it waits in any case
 
 
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 PROCESS_MB = 24  # resident after the start, before anybody has connected
+WORKING_MB = 2  # that the process grows by at first use, whoever uses it
+MIN_BUDGET_BYTES = 2**20  # below it nobody could be served
 
 
 @dataclass(slots=True)
@@ -79,3 +81,8 @@
     def function_bytes(self) -> float:
         """Return the memory for what the router remembers of functions."""
         return self.function_share * self.spare_bytes()
+
+    def budget_bytes(self, process_bytes: int = PROCESS_MB * 2**20) -> int:
+        """Return the memory that others may make the process hold, beside a process of that size."""
+        fixed = process_bytes + WORKING_MB * 2**20 + self.function_bytes()
+        return int(max(self.memory_mb * 2**20 - fixed, MIN_BUDGET_BYTES))
--- /dev/null
+++ b/harrieryoke/memory_budget.py
@@ -0,0 +1,153 @@
+"""The memory that others can make the process hold: counted by owner, within one limit.
+
+The budget is what the configured memory leaves beyond the bare process. No charge passes it: a holder that
+can't charge waits, refuses or closes. As it fills, these give way in this order (`Pressure`): clients that
+hold more than their share are no longer read; stalled and idle connections close; new calls are refused. A
+part is kept for answers to calls that were taken. No I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, IntEnum
+
+RESERVE_SHARE = 0.15  # of the budget, for answers and what model hosts and discovery send
+FAIR_SHARE = 1 / 8  # of what is free, for one client: many greedy ones leave room for those that hold little
+SHARED_SHARE = 0.8  # of the budget without the reserve, for shares; the rest is for those that hold little
+MIN_REQUESTS_BYTES = 12 * 1024  # that the open requests of a client may hold under any pressure
+MIN_INPUT_BYTES = 2048  # that a client may have unhandled under any pressure: an ordinary request
+FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
+CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
+CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
+REQUEST_BYTES = 4 * 1024  # of an open request, without its body
+
+
+class Owner(Enum):
+    """What holds memory."""
+
+    CONNECTIONS = "connections"
+    INPUT = "input"  # read from clients and not handled
+    REQUESTS = "requests"  # open, with their bodies
+    FRAMES = "frames"  # read from model hosts and not yet given to a client
+    ANSWERS = "answers"  # given to a client's socket and not accepted by it
+    LISTS = "lists"  # partial lines of the event bus
+
+
+MAY_USE_RESERVE = frozenset({Owner.FRAMES, Owner.ANSWERS, Owner.LISTS})
+
+
+class Pressure(IntEnum):
+    """What gives way; each level includes those before."""
+
+    NONE = 0
+    READING = 1
+    CLOSING = 2
+    REFUSING = 3
+
+
+# share of the budget without its reserve from which a level holds, and below which it ends
+LEVELS = {Pressure.READING: (0.5, 0.45), Pressure.CLOSING: (0.7, 0.65), Pressure.REFUSING: (0.9, 0.85)}
+
+
+def ignore_change(previous: Pressure) -> None:
+    """Stands in for the callback where nobody is to be told."""
+
+
+class MemoryBudget:
+    """The account of one process. `total` is in bytes."""
+
+    def __init__(self, total: int) -> None:
+        self.used = dict.fromkeys(Owner, 0)
+        self.used_total = 0
+        self.pressure = Pressure.NONE
+        self.on_change: Callable[[Pressure], None] = ignore_change  # gets the level before
+        self.resize(total)
+
+    def resize(self, total: int) -> None:
+        """Change the size of the budget; what is charged already stays."""
+        self.total = max(total, 1)
+        self.common = int(self.total * (1 - RESERVE_SHARE))
+
+    def limit(self, owner: Owner) -> int:
+        """Return up to which total the owner may charge."""
+        return self.total if owner in MAY_USE_RESERVE else self.common
+
+    def free(self, owner: Owner) -> int:
+        """Return how many bytes the owner may charge now."""
+        return self.limit(owner) - self.used_total
+
+    def try_charge(self, owner: Owner, size: int) -> bool:
+        """Charge so many bytes; return False, and charge nothing, if the budget does not allow it."""
+        if size > self.free(owner):
+            return False
+        self.used[owner] += size
+        self.used_total += size
+        self.update_pressure()
+        return True
+
+    def release(self, owner: Owner, size: int) -> None:
+        """Give charged bytes back."""
+        assert 0 <= size <= self.used[owner], f"{owner}: {size} of {self.used[owner]} bytes released"
+        self.used[owner] -= size
+        self.used_total -= size
+        self.update_pressure()
+
+    def reserve(self, owner: Owner, size: int) -> Reservation | None:
+        """Charge so many bytes for as long as the returned object lives; None if that is not allowed."""
+        return Reservation(self, owner, size) if self.try_charge(owner, size) else None
+
+    def update_pressure(self) -> None:
+        """Follow the use with the level; a level ends a little below where it began."""
+        level, share = Pressure.NONE, self.used_total / self.common
+        for each, (begin, end) in LEVELS.items():
+            if share >= (end if self.pressure >= each else begin):
+                level = each
+        if level is not self.pressure:
+            previous, self.pressure = self.pressure, level
+            self.on_change(previous)
+
+    def fair_share(self) -> int:
+        """Return how much one client may hold; as long as there is no pressure, that is not limited here."""
+        if self.pressure is Pressure.NONE:
+            return self.total
+        return max(0, int((self.common * SHARED_SHARE - self.used_total) * FAIR_SHARE))
+
+    def may_hold(self, held: int, size: int) -> bool:
+        """Return whether a client whose open requests hold so much may have another one of that size."""
+        return held + size <= max(MIN_REQUESTS_BYTES, self.fair_share())
+
+    def may_read_frame(self, size: int) -> bool:
+        """Return whether an answer that takes so much may be read: one always may, more within a share."""
+        used = self.used[Owner.FRAMES]
+        return size <= self.free(Owner.FRAMES) and (not used or used + size <= self.total * FRAMES_SHARE)
+
+    def max_connections(self) -> int:
+        """Return how many client connections the budget allows."""
+        return max(1, int(self.common * CONNECTIONS_SHARE) // CONNECTION_BYTES)
+
+    def describe(self) -> str:
+        """Return the account in one line, in kB."""
+        owners = ", ".join(f"{owner.value} {size // 1024}" for owner, size in self.used.items() if size)
+        return f"{self.used_total // 1024} of {self.total // 1024} kB: {owners or 'nothing'}"
+
+
+class Reservation:
+    """Charged bytes that are given back with the object that holds them, whichever way that ends."""
+
+    __slots__ = ("budget", "owner", "size")
+
+    def __init__(self, budget: MemoryBudget, owner: Owner, size: int) -> None:
+        self.budget, self.owner, self.size = budget, owner, size
+
+    def __del__(self) -> None:
+        self.budget.release(self.owner, self.size)
+
+
+def request_size(body_bytes: int) -> int:
+    """Return what an open request takes: its body is held as it came and, while it is written, as a frame."""
+    return REQUEST_BYTES + 2 * body_bytes
+
+
+def answer_size(body_bytes: int) -> int:
+    """Return what an answer takes on its way: its body, the body in base64, and the line with it."""
+    return 4 * body_bytes
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import gevent
 import msgspec
 from gevent import socket
 
@@ -18,6 +19,7 @@
 from ..core.records import Call
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import MIN_INPUT_BYTES, Owner, request_size
 from .jsonrpc import (
     BAD_PARAMS,
     FAILED,
@@ -30,6 +32,7 @@
     decode_message,
     parse_props,
 )
+from .line_buffer import LineBuffer
 from .outgoing import OutgoingQueue
 from .unread import InputState, given_up_id, gives_up, has_hung_up, input_state, ms_since_data, peek
 
@@ -37,6 +40,7 @@
 MAX_UNSENT_MESSAGES = 256
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
+STALLED_MS = 250.0  # without progress, after which a client gives way under memory pressure
 QUIET_MS = 2.0  # without data; what was sent before has arrived then
 MAX_UNREAD_MS = 100.0  # after a client has left, no attempt may begin; what it sent may hide that for so long
 
@@ -108,15 +112,16 @@
         # a client that reads nothing for this long loses its connection
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.on_closed = sock, maker, core, limits, on_closed
-        self.pauses = pauses
+        self.pauses, self.memory = pauses, core.memory
         self.client, self.peer = name, name.rpartition(":")[0]
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
         self.close_requested = False
         self.stalled_line_at: float | None = None  # start of a stalled partial line: a close ignores it
         self.transfer_request: TransferWhenIdle | None = None
-        self.partial = b""  # of a line that is not yet complete
-        self.unposted: list[bytes] = []  # complete lines that are not in the mailbox yet, the newest first
+        self.input = LineBuffer(limits.line_bytes)
+        self.charged_input = 0  # bytes read and not handled
+        self.open_bytes = 0  # of the open calls, as charged
         self.received_at = 0.0  # earliest time at which they may have been received
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
         self.unread_since: float | None = None  # of the bytes read last and what follows them
@@ -134,6 +139,7 @@
             log,
             lambda: self.try_send(OutputDrained()),
             self.write_failed,
+            core.memory,
         )
 
     # --- callbacks of the core ---
@@ -152,6 +158,25 @@
 
     # --- connection ---
 
+    @property
+    def partial(self) -> bool:
+        """Whether a line has begun and is not complete."""
+        return self.input.has_partial()
+
+    @property
+    def unposted(self) -> bool:
+        """Whether complete lines wait for space in the mailbox."""
+        return self.input.has_line()
+
+    def stalled_bytes(self, now: float) -> int:
+        """Return what the client holds here without moving on for some time; 0 if it moves on."""
+        stalled = 0
+        if self.partial and now - self.last_active > STALLED_MS:
+            stalled += self.charged_input
+        if self.outgoing.stalled_since is not None and now - self.outgoing.stalled_since > STALLED_MS:
+            stalled += self.outgoing.unsent_bytes
+        return stalled
+
     def idle_ms(self, now: float) -> float | None:
         """Return the time since the last complete line or answer; None while something is open."""
         is_busy = self.open or self.mailbox or self.unposted or self.outgoing.unsent
@@ -190,19 +215,55 @@
     def read_stream(self) -> None:
         """Run the reader's greenlet: split the stream into lines."""
         try:
-            while self.post_lines():
+            while self.post_lines() and self.wait_for_room():
                 try:
                     data = self.read_some()
                 except TimeoutError as error:
                     if is_kernel_timeout(error):
                         break
                     continue
-                if not data or not self.split_lines(self.partial + data):
+                if not data or self.finished or not self.take_input(data):
                     break
         except OSError:
             pass  # a reset counts as the end of the stream
         self.end_connection()
 
+    def room(self) -> int:
+        """Return how many bytes may be read now."""
+        share = max(MIN_INPUT_BYTES, self.memory.fair_share())
+        return min(self.limits.line_bytes // 4, share - self.charged_input, self.memory.free(Owner.INPUT))
+
+    def wait_for_room(self) -> bool:
+        """Wait until the memory allows to read on; return False once the connection has ended."""
+        while not self.finished and self.room() <= 0:
+            if has_hung_up(self.sock):
+                return False
+            gevent.sleep(HANG_UP_POLL_MS / 1000)
+        return not self.finished
+
+    def take_input(self, data: bytes) -> bool:
+        """Store what was read; return False if the connection has to end for it."""
+        if not self.memory.try_charge(Owner.INPUT, len(data)):
+            self.log("client-closed", f"{self.client}: no memory for what it sends: {self.memory.describe()}")
+            return False
+        self.charged_input += len(data)
+        was_partial = self.partial
+        self.input.feed(data)
+        now = now_ms()
+        self.received_at = self.pauses.earliest_arrival(now)
+        if self.unposted or not was_partial:
+            self.last_active = now
+        self.has_sent_line = self.has_sent_line or self.unposted
+        if self.input.is_too_long():
+            self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
+            return False
+        return True
+
+    def release_input(self, size: int) -> None:
+        """Give back the memory of handled bytes."""
+        self.charged_input -= size
+        self.memory.release(Owner.INPUT, size)
+
     def read_some(self) -> bytes:
         """Wait for data and read it; note since when some of it, or of what follows, may have been unread.
 
@@ -215,7 +276,7 @@
             self.end_quiet()
         if self.unread_since is None:
             self.unread_since = now_ms() - ms_since_data(self.sock)
-        data: bytes = self.sock.recv(self.limits.line_bytes // 4)
+        data: bytes = self.sock.recv(max(1, self.room()))
         return data
 
     def end_quiet(self) -> None:
@@ -253,8 +314,7 @@
         for message in self.mailbox:
             if isinstance(message, LineReceived):
                 yield message.data
-        yield from self.unposted
-        yield from (self.partial + peek(self.sock)).split(b"\n")
+        yield from (self.input.unread() + peek(self.sock)).split(b"\n")
 
     def must_refuse(self, call: Call) -> bool:
         """Return whether bytes were unread for too long to know of the client; the call is answered then."""
@@ -277,34 +337,32 @@
 
     # --- reading ---
 
-    def split_lines(self, data: bytes) -> bool:
-        """Store the complete lines and the partial one after them; return False if a line is too long."""
-        *complete, partial = data.split(b"\n")
-        if max(map(len, [*complete, partial])) > self.limits.line_bytes:
-            self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
-            return False
-        now = now_ms()
-        self.received_at = self.pauses.earliest_arrival(now)
-        if complete or not self.partial:
-            self.last_active = now
-        self.has_sent_line = self.has_sent_line or bool(complete)
-        self.partial, self.unposted = partial, complete[::-1]
-        return True
-
     def post_lines(self) -> bool:
         """Post the complete lines; return False once the connection has ended.
 
         Applies backpressure: waits while the mailbox is full up to its reserve, unless the client closes the
         connection. `recv` would report that too late, as the end of the stream lies behind unread bytes.
         """
-        while self.unposted and not self.finished:
-            if len(self.mailbox) < self.capacity - self.reserve:
-                self.try_send(LineReceived(self.unposted.pop(), self.received_at))
+        max_waiting = self.capacity - self.reserve
+        return self.post_waiting_lines(len(self.input), max_waiting)
+
+    def post_waiting_lines(self, count: int, max_waiting: int) -> bool:
+        """Post so many of the complete lines, of which some may wait in the mailbox at a time.
+
+        Lines of an ended connection are dropped.
+        """
+        while self.unposted and count > 0 and not self.finished:
+            if len(self.mailbox) < max_waiting:
+                self.try_send(LineReceived(self.input.next_line(), self.received_at))
+                count -= 1
             elif has_hung_up(self.sock):
                 return False
             else:
                 self.space_available.clear()
                 self.space_available.wait(HANG_UP_POLL_MS / 1000)
+        if self.input.is_too_long():
+            self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
+            return False
         return not self.finished
 
     def end_connection(self) -> None:
@@ -328,6 +386,7 @@
     def receive(self, message: Any) -> None:
         match message:
             case LineReceived(data, received_at):
+                self.release_input(len(data) + 1)
                 if data.strip():
                     self.handle_line(data, received_at)
             case AnswerReady(call, reply):
@@ -384,16 +443,27 @@
             if len(self.open) >= self.limits.open_per_connection:
                 raise BadRequestError(REFUSED, "too many open requests on this connection")
             call = self.create_call(method, bytes(message.params), received_at)
+            if not self.memory.may_hold(self.open_bytes, request_size(len(call.body))):
+                raise BadRequestError(REFUSED, "the open requests of this connection hold too much memory")
         except BadRequestError as error:
             return self.reject_line(id, method, error)
         self.open[id], self.ids[call] = call, id
+        self.open_bytes += request_size(len(call.body))
         self.core.offer(call, self)
 
+    def close_call(self, id: int, call: Call) -> None:
+        """Forget an open call."""
+        del self.open[id], self.ids[call]
+        self.open_bytes -= request_size(len(call.body))
+
     def reject_line(self, id: int | None, method: str, error: BadRequestError) -> None:
         self.log("bad-request", f"{self.name}: {error}")
         if method in self.maker.classes:
             self.core.metrics.count_final_answer(method, "refused" if error.code == REFUSED else "failed")
-        self.write({"id": id, "error": {"code": error.code, "message": str(error)}})
+        answer: dict[str, Any] = {"code": error.code, "message": str(error)}
+        if error.code == REFUSED and (backoff := self.maker.settings.max_retry_after):
+            answer["data"] = {"backoff": round(backoff)}
+        self.write({"id": id, "error": answer})
 
     def create_call(self, method: str, params: bytes, received_at: float) -> Call:
         if method not in self.maker.classes:
@@ -423,14 +493,14 @@
             id = given_up_id(message, open_ids)
         except msgspec.MsgspecError as error:
             raise BadRequestError(BAD_PARAMS, str(error)) from None
-        if id is not None and (call := self.open.pop(id, None)) is not None:
-            del self.ids[call]
+        if id is not None and (call := self.open.get(id)) is not None:
+            self.close_call(id, call)
             call.abandoned = True
             self.core.withdraw(call)
 
     def write_answer(self, call: Call, reply: dict[str, Any]) -> None:
-        if (id := self.ids.pop(call, None)) is not None:
-            del self.open[id]
+        if (id := self.ids.get(call)) is not None:
+            self.close_call(id, call)
             self.last_active = now_ms()
             self.write({"id": id} | reply)
 
@@ -442,6 +512,7 @@
         super().finish()
         self.end_connection()
         self.sock.close()
+        self.release_input(self.charged_input)
         for call in self.ids:
             self.core.withdraw(call)
         self.on_closed(self)
--- a/harrieryoke/net/frames.py
+++ b/harrieryoke/net/frames.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+from ..memory_budget import Reservation
+
 # magic number, code, length of the fields, length of the body, id
 HEADER = struct.Struct(">BBHIQ")
 # CRC-32 of the fields and the body
@@ -31,6 +33,7 @@
     id: int
     fields: dict[str, str]
     body: bytes = b""
+    reservation: Reservation | None = None  # the memory of the answer with this body
 
 
 def encode(
@@ -58,6 +61,13 @@
     def __init__(self, max_body_bytes: int, magic: int = FROM_HOST) -> None:
         self.max_body_bytes, self.magic, self.buffer = max_body_bytes, magic, bytearray()
 
+    def expected_bytes(self) -> int:
+        """Return the size of the incomplete frame, as far as its header tells; 0 if there is none."""
+        if len(self.buffer) < HEADER.size:
+            return len(self.buffer)
+        _, _, fields_size, body_size, _ = HEADER.unpack_from(self.buffer)
+        return int(HEADER.size + fields_size + body_size + CHECKSUM.size)
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         self.buffer += data
         while len(self.buffer) >= HEADER.size:
@@ -69,8 +79,9 @@
             size = HEADER.size + fields_size + body_size
             if len(self.buffer) < size + CHECKSUM.size:
                 return
-            encoded_fields = bytes(self.buffer[HEADER.size : HEADER.size + fields_size])
-            body = bytes(self.buffer[HEADER.size + fields_size : size])
+            with memoryview(self.buffer) as view:
+                encoded_fields = bytes(view[HEADER.size : HEADER.size + fields_size])
+                body = bytes(view[HEADER.size + fields_size : size])
             (checksum,) = CHECKSUM.unpack_from(self.buffer, size)
             del self.buffer[: size + CHECKSUM.size]
             if checksum != crc32(body, crc32(encoded_fields)):
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import gevent
 from gevent import socket
 
 from .. import interface as i
@@ -17,10 +18,12 @@
 from ..core.records import AttemptTask, Call, OrderTask, Task, TaskEnded
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import MemoryBudget, Owner, answer_size
 from . import frames
 from .answers import COPY_LOOKUPS, OUTCOMES, parse_count, parse_load_report
 from .link import HostSocket, Link, PendingFrame, host_socket
 
+FRAMES_WAIT_S = 0.002  # until answers that were read have been passed on
 # ids of orders and probes; requests bring their own ids, which must not collide with these on a link
 FIRST_INTERNAL_FRAME_ID = 1 << 63
 # reported by the kernel; a dial that times out in this process has no errno
@@ -123,10 +126,11 @@
         log: Log,
         report: Callable[[TaskEnded], object],
         metrics: Metrics,
+        memory: MemoryBudget | None = None,
     ) -> None:
         super().__init__(f"host {name}", limits.host_mailbox, log, reserve=limits.host_mailbox // 4)
         self.status, self.limits, self.report = status, limits, report
-        self.metrics = metrics
+        self.metrics, self.memory = metrics, memory or MemoryBudget(limits.budget_bytes())
         self.apply_settings(settings)
         self.links: list[Link] = []
         self.locations: dict[Task, tuple[Link, int]] = {}
@@ -447,8 +451,10 @@
                 if not data:
                     break
                 received: list[frames.Frame] = []
+                self.release_partial(link)
                 try:
                     for frame in link.decoder.feed(data):
+                        frame.reservation = self.memory.reserve(Owner.FRAMES, answer_size(len(frame.body)))
                         received.append(frame)
                 finally:
                     # Valid answers that precede an invalid frame are delivered. The start of a frame also
@@ -457,14 +463,37 @@
                     link.partial_since = now_ms() if partial else None
                     if received or (previous is None and partial):
                         self.blocking_send(FramesReceived(link, received))
+                self.charge_partial(link)
         except frames.FrameError as error:
             reason = f"bad frame: {error}"
             self.log("bad-frame", f"{self.name}: {error}")
         except OSError as error:
             reason = f"read: {error}"
         link.ended = True  # no new task may start here, even while the message waits in the mailbox
+        self.release_partial(link)
         self.blocking_send(LinkLost(link, reason))
 
+    def charge_partial(self, link: Link) -> None:
+        """Charge the incomplete frame of a link, as the answer that it will be.
+
+        Waits while too much is on its way from hosts to clients. Raises FrameError if that takes too long.
+        """
+        self.release_partial(link)
+        size = answer_size(link.decoder.expected_bytes())
+        give_up_at = now_ms() + 2 * self.limits.frame_ms
+        while size and not self.memory.may_read_frame(size):
+            if now_ms() > give_up_at or link.ended:
+                raise frames.FrameError(f"no memory for an answer: {self.memory.describe()}")
+            link.partial_since = now_ms()
+            gevent.sleep(FRAMES_WAIT_S)
+        if self.memory.try_charge(Owner.FRAMES, size):
+            link.charged = size
+
+    def release_partial(self, link: Link) -> None:
+        """Give back the memory of the incomplete frame of a link."""
+        self.memory.release(Owner.FRAMES, link.charged)
+        link.charged = 0
+
     def close_link(self, link: Link, reason: str) -> None:
         """Close the link and end its tasks.
 
@@ -520,6 +549,11 @@
         outcome = OUTCOMES[frame.code]
         if isinstance(task, OrderTask):
             return self.end_task(task, outcome, copies=parse_count(frame.fields.get("pods")) or 0)
+        if isinstance(task, AttemptTask) and frame.body:
+            task.call.answer_reservation = frame.reservation
+            if frame.reservation is None:
+                self.log("answer-dropped", f"{task.call.request_id}: {self.memory.describe()}")
+                return self.end_task(task, i.Outcome.ERROR)
         report, concurrent = parse_load_report(frame.fields.get("l")), parse_count(frame.fields.get("depth"))
         self.end_task(
             task,
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -14,6 +14,7 @@
 from ..core.records import HostName, HostPort, TaskEnded, WorkerListConfirmed, WorkersChanged
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import MemoryBudget
 from .bans import BanChanged, BanTable
 from .bus_follower import BusFollower
 from .heartbeats import PROPAGATION_DELAY_MS
@@ -110,11 +111,13 @@
         send_to_module: Callable[[WorkersChanged | WorkerListConfirmed], object],
         report: Callable[[TaskEnded], object],
         metrics: Metrics,
+        memory: MemoryBudget | None = None,
     ) -> None:
         super().__init__("worker list", limits.list_mailbox, log)
         self.settings, self.limits = settings, limits
         self.send_to_module, self.report = send_to_module, report
         self.metrics = metrics
+        self.memory = memory or MemoryBudget(limits.budget_bytes())
         self.hosts: dict[str, tuple[HostStatus, HostActor]] = {}
         self.servers: dict[str, Server] = {}  # the latest entry of each host, in the order of arrival
         self.doubtful: set[str] = set()  # listed hosts whose latest entry could not be read
@@ -328,7 +331,16 @@
                 return actor
             self.remove_host(server.id)
         status = HostStatus(address, listed_status)
-        actor = HostActor(server.id, status, self.settings, self.limits, self.log, self.report, self.metrics)
+        actor = HostActor(
+            server.id,
+            status,
+            self.settings,
+            self.limits,
+            self.log,
+            self.report,
+            self.metrics,
+            self.memory,
+        )
         actor.start()
         self.hosts[server.id] = (status, actor)
         return actor
--- a/harrieryoke/net/link.py
+++ b/harrieryoke/net/link.py
@@ -69,6 +69,7 @@
     partial_since: float | None = (
         None  # when the last bytes of an incomplete frame were received; set by the reader
     )
+    charged: int = 0  # bytes of the incomplete frame, as charged to the memory budget
     backlog: deque[PendingFrame] = field(default_factory=deque)
     awaiting_writable: bool = False  # a greenlet waits until the connection accepts more
     ended: bool = False  # the host closed it or it failed; set by the reader alone
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -17,9 +17,11 @@
 from ..core.pauses import PauseWatch
 from ..limits import Limits
 from ..log import Log
+from ..memory_budget import CONNECTION_BYTES, Owner, Pressure
 from .client import ClientActor, CloseIfIdle, TransferWhenIdle
 from .listening import wait_for_listener
 
+RELIEF_MS = 50.0  # between closings while the memory is short
 BACKLOG = 512  # connections that the kernel accepts ahead of the acceptor
 
 
@@ -61,6 +63,10 @@
     """New connections wait for a client to leave."""
 
 
+class RelieveMemory:
+    """The memory is short: stalled and idle clients give way."""
+
+
 class ResumeAccepting:
     """The other process has ended; accept clients here again."""
 
@@ -85,8 +91,8 @@
         super().__init__("platform front", limits.client_mailbox, log)
         self.address, self.maker, self.core, self.limits = address, maker, core, limits
         self.clients: dict[ClientActor, bool] = {}  # value: whether it was asked to leave
-        # ordinarily client connections use a third of the sockets
-        self.soft_limit, self.hard_limit = limits.sockets // 2, limits.sockets * 2 // 3
+        self.memory = core.memory
+        self.memory.on_change = self.memory_pressure_changed
         self.stopping, self.all_closed = False, Event()
         self.client_closed = Event()  # set when a client connection has closed
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
@@ -140,33 +146,54 @@
                 self.blocking_send(accepted)
 
     def wait_for_room(self, acceptor: socket.socket) -> None:
-        """Leave new connections in the backlog while clients hold all permitted ones and an idle one can be
-        closed.
+        """Leave new connections in the backlog while clients hold all permitted ones and one that is idle, or
+        does not finish its request, can be closed.
 
         If all are busy, a new connection is rejected at once, so that the client can try elsewhere.
         """
-        while acceptor.fileno() >= 0 and self.is_full() and self.has_idle_client():
+        while acceptor.fileno() >= 0 and self.is_full() and self.has_yielding_client():
             self.client_closed.clear()
             self.try_send(CloseIdleClient())
             self.client_closed.wait(self.limits.client_fresh_ms / 1000)
 
+    @property
+    def hard_limit(self) -> int:
+        """The most client connections: ordinarily they use a third of the sockets."""
+        return min(self.limits.sockets * 2 // 3, self.memory.max_connections())
+
+    @property
+    def soft_limit(self) -> int:
+        """The number of client connections from which idle ones make room for new ones."""
+        return self.hard_limit * 3 // 4
+
+    def memory_pressure_changed(self, previous: Pressure) -> None:
+        """Log what gives way from now on, and have connections closed where that is due."""
+        level = self.memory.pressure
+        self.log(
+            "memory-pressure", f"{previous.name.lower()} to {level.name.lower()}: {self.memory.describe()}"
+        )
+        if level >= Pressure.CLOSING:
+            self.try_send(RelieveMemory())
+
     def is_full(self) -> bool:
         """Return whether clients hold all permitted connections, including those in the mailbox."""
-        return (
-            len(self.clients) + sum(isinstance(m, ConnectionAccepted) for m in self.mailbox)
-            >= self.hard_limit
-        )
+        accepted = sum(isinstance(m, ConnectionAccepted) for m in self.mailbox)
+        no_memory = self.memory.free(Owner.CONNECTIONS) < (accepted + 1) * CONNECTION_BYTES
+        return no_memory or len(self.clients) + accepted >= self.hard_limit
 
-    def has_idle_client(self) -> bool:
-        """Return whether some client has no open call and no partial line."""
+    def has_yielding_client(self) -> bool:
+        """Return whether some client has no open call, or stands still."""
         now = now_ms()
-        return any(c.idle_ms(now) is not None and not c.partial for c in self.clients)
+        return any(c.idle_ms(now) is not None or c.stalled_bytes(now) for c in self.clients)
 
     def run(self) -> None:
         swept = now_ms()
         while not self.finished:
-            self.wait_for_message(self.limits.sweep_ms)
+            is_short = self.memory.pressure >= Pressure.CLOSING
+            self.wait_for_message(RELIEF_MS if is_short else self.limits.sweep_ms)
             self.process_mailbox()
+            if self.memory.pressure >= Pressure.CLOSING:
+                self.relieve_memory()
             now = now_ms()
             self.pauses.record_wake(now)
             if now - swept >= self.limits.sweep_ms:
@@ -194,10 +221,12 @@
             case ConnectionAccepted(sock, name, served_before):
                 self.add_client(sock, name, served_before)
             case ClientClosed(client):
-                self.clients.pop(client, None)
-                self.client_closed.set()
+                self.forget_client(client)
             case CloseIdleClient():
-                self.close_idle_client()
+                if not self.close_stalled_client("a new connection needs its place"):
+                    self.close_idle_client()
+            case RelieveMemory():
+                self.relieve_memory()
             case TransferClients(transfer) if not self.stopping:
                 self.transfer_request = TransferWhenIdle(transfer)
                 self.acceptor.close()
@@ -253,7 +282,14 @@
     def add_client(self, sock: socket.socket, name: str, served_before: bool) -> None:
         if len(self.clients) - sum(self.clients.values()) >= self.soft_limit:
             self.close_idle_client()
+        if len(self.clients) >= self.hard_limit or self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
+            self.close_stalled_client("a new connection needs its place")
+        if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
+            self.log("too-many-clients", f"no memory for another connection: {self.memory.describe()}")
+            sock.close()
+            return
         if len(self.clients) >= self.hard_limit:
+            self.memory.release(Owner.CONNECTIONS, CONNECTION_BYTES)
             self.log("too-many-clients", f"{len(self.clients)} connections are open")
             sock.close()
             return
@@ -272,6 +308,32 @@
         if self.stopping:
             self.close_when_idle(client, "the process stops")
 
+    def forget_client(self, client: ClientActor) -> None:
+        """Give back the place and the memory of a client that has ended."""
+        if self.clients.pop(client, None) is not None:
+            self.memory.release(Owner.CONNECTIONS, CONNECTION_BYTES)
+        self.client_closed.set()
+
+    def relieve_memory(self) -> None:
+        """Close stalled clients, those that hold most first, then idle ones, until the memory suffices."""
+        while self.memory.pressure >= Pressure.CLOSING and self.close_stalled_client("the memory is short"):
+            pass
+        if self.memory.pressure >= Pressure.CLOSING:
+            self.close_idle_client()
+
+    def close_stalled_client(self, reason: str) -> bool:
+        """Close the client that holds most without moving on; return whether there was one."""
+        now = now_ms()
+        stalled = {c: size for c in self.clients if not c.finished and (size := c.stalled_bytes(now))}
+        if not stalled:
+            return False
+        client = max(stalled, key=stalled.__getitem__)
+        self.log("client-closed", f"{client.client}: {reason}; {stalled[client]} bytes stand still")
+        client.end_connection()
+        client.release_input(client.charged_input)
+        self.forget_client(client)
+        return True
+
     def close_idle_client(self) -> None:
         """Close the client that has been idle longest, unless it has a partial line.
 
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -19,6 +19,7 @@
 from .core.calls import CallMaker
 from .core.clock import now_ms
 from .core.module import ModuleActor
+from .core.process_memory import resident_bytes
 from .core.records import CountersRequested, SettingsChanged, Stopping
 from .log import Log
 from .net.bus_follower import BusFollower
@@ -42,7 +43,13 @@
         settings = config.settings
         self.core = ModuleActor(settings, config.seed, self.limits, log)
         self.hosts = HostListActor(
-            settings, self.limits, log, self.core.blocking_send, self.core.blocking_send, self.core.metrics
+            settings,
+            self.limits,
+            log,
+            self.core.blocking_send,
+            self.core.blocking_send,
+            self.core.metrics,
+            self.core.memory,
         )
         self.bus = BusFollower(config.bus, config.known.offset, self.limits, log, self.hosts.blocking_send)
         self.maker = CallMaker(settings, self.limits)
@@ -102,8 +109,17 @@
             raise ConfigError(f"RELAY_LISTEN: {error}") from None
         if self.upgrade is not None:
             self.upgrade.start()
+        self.size_memory_budget()
         self.log("started", f"listening on {self.config.listen[0]}:{self.config.listen[1]}")
 
+    def size_memory_budget(self) -> None:
+        """Size the budget by what this process takes, which depends on the parts and the number of hosts."""
+        resident = resident_bytes()
+        budget = self.limits.budget_bytes(resident) if resident else self.limits.budget_bytes()
+        self.core.memory.resize(budget)
+        sizes = f"{budget // 1024} kB beside {resident // 1024} kB resident, of {self.limits.memory_mb} MB"
+        self.log("memory-budget", sizes)
+
     def open_council(self) -> None:
         """Open the council's folder. Must precede the takeover of the listener, since it may fail."""
         if self.parts.council is not None:
@@ -143,6 +159,7 @@
                 self.hosts.try_send,
                 self.limits,
                 self.log,
+                self.core.memory,
             ).start()
         except OSError as error:
             raise ConfigError(f"RELAY_MANAGEMENT: {error}") from None
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -151,8 +151,7 @@
         """Whether nothing is known of it that its next request would not bring again."""
         if self.has_history or self.dispatch_scheduled or self.in_use():
             return False
-        pauses = (*self.load_failed_until.values(), *self.missed_until.values())
-        return all(until <= now for until in pauses)
+        return all(until <= now for until in self.load_failed_until.values())
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -20,6 +20,7 @@
 from harrieryoke.core.records import Front as CallFront
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
+from harrieryoke.memory_budget import MemoryBudget
 from harrieryoke.net.client import ClientActor
 from harrieryoke.net.platform import PlatformFront
 
@@ -50,6 +51,7 @@
     def __init__(self) -> None:
         self.metrics, self.gate, self.answers = Metrics(["weight-read"]), Event(), False
         self.gate.set()
+        self.memory = MemoryBudget(1 << 30)
         self.calls: dict[int, Call] = {}
         self.withdrawn: list[int] = []
 
--- a/tests/overload.py
+++ b/tests/overload.py
@@ -384,7 +384,7 @@
     def figures(self) -> dict[str, float]:
         host, _, port = self.management.partition(":")
         with socket.create_connection((host, int(port)), 5) as sock:
-            sock.sendall(b"show-stat\n")
+            sock.sendall(b"show-memory\n")
             lines = sock.makefile().read().splitlines()[:-1]
         return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
 
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -10,6 +10,7 @@
 
 from harrieryoke.admin.commands import parse_command
 from harrieryoke.errors import OperatorError
+from harrieryoke.memory_budget import CONNECTION_BYTES
 
 from .scenario import Scene, run
 
@@ -181,3 +182,23 @@
         return False
     except OSError:
         return True
+
+
+# Guards against memory that fills without telling by whom: the account has a figure for each owner.
+def test_show_memory_tells_what_is_held_by_owner(tmp_path: Path) -> None:
+    scene = Scene(tmp_path)
+    try:
+        scene.play('send c1 probe 1\nexpect c1 1 healthy\nsend c1 part "{" 5000')
+        for _ in range(200):
+            *lines, end = scene.ask("show-memory")
+            figures = {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+            if figures['invoker_memory_bytes{owner="input"}'] == 5000:
+                break
+        assert end == "end" and figures['invoker_memory_bytes{owner="input"}'] == 5000
+        assert figures['invoker_memory_bytes{owner="connections"}'] == CONNECTION_BYTES
+        held = sum(value for name, value in figures.items() if name.startswith("invoker_memory_bytes"))
+        assert held < figures["invoker_memory_budget_bytes"] < 192 * 2**20
+        assert 0 < figures["invoker_memory_resident_bytes"] < 192 * 2**20
+        assert figures["invoker_memory_pressure"] == 0
+    finally:
+        scene.end()
