Let loud clients take turns, and take calls of clients with few open ones first

What callers saw: beside one client that sends unsound lines or gives up its calls at full speed, or hundreds that send blocks of short lines, others waited: 65 and 80 ms in the median (23 without), 190 to 510 ms beside 330; beside 330 clients with 32 large requests each, up to 24 of 138 calls of a usual client were refused.

Cause: a connection had its whole chunk of 16 KB handled at a time, some 2,700 lines, and a round of the module took all that had come, thousands of calls, before any answer went on. The class: work in front of others that is bounded by bytes or by what has come, not by its cost to the others.

Why it works: lines that start no work (errors, probe, giveUp) are counted by a token bucket; a client above it has four lines handled at a time, in turns with the others above theirs. Calls wait in a queue in which those of connections with fewer open calls go first, and a round takes eight of them.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -15,6 +15,7 @@
 from ..memory_budget import MemoryBudget, Owner, request_size
 from ..router import Router
 from .actor import Actor
+from .arrivals import ArrivalQueue
 from .clock import WallClockWatch, now_ms
 from .metrics import Metrics
 from .records import (
@@ -42,6 +43,7 @@
 )
 from .table import Entry, RequestTable
 
+MAX_ARRIVALS = 8  # in one round: other events wait for no more than these
 LOAD_LOOKUPS = (i.CopyLookup.STARTED_LOAD, i.CopyLookup.WAITED_FOR_LOAD)
 
 
@@ -61,6 +63,8 @@
         self.limits, self.avoided_counted_at = limits, 0.0
         self.table = RequestTable(settings, limits, self.metrics, log)
         self.memory = MemoryBudget(limits.budget_bytes())
+        self.arrivals = ArrivalQueue()
+        self.withdrawn_arrivals: set[Call] = set()  # of those in the queue
         self.wall_clock = WallClockWatch()
         self.logged_hosts_out = 0  # value last logged
         self.logged_list_current = True  # value last logged
@@ -208,7 +212,7 @@
         # The slack delays timers a little, so that a round caused by a message can serve them. Most timers
         # find their request answered, and a round for a timer alone would delay the next message by a tick.
         timer = (self.timers[0][0] if self.timers else float("inf")) + self.timer_slack
-        first = timer if not self.pending_events else 0.0
+        first = timer if not (self.pending_events or self.arrivals) else 0.0
         max_wait = self.limits.figures_ms if self.metrics.watched else 1000.0
         return min(first, self.table.next_deadline(), self.clock() + max_wait)
 
@@ -216,6 +220,7 @@
         """Run one round: all events in order of arrival, one call of the router, its actions in order."""
         events, self.pending_events = self.pending_events, []
         events += [e for m in messages if (e := self.message_handlers[type(m)](m, now)) is not None]
+        events += [e for a in self.arrivals.take(MAX_ARRIVALS) if (e := self.accept(a, now)) is not None]
         events += [e for t in self.table.expire_tasks(now) if (e := self.event_for(t, now)) is not None]
         while self.timers and self.timers[0][0] <= now:
             events.append(i.TimerFired(heappop(self.timers)[1]))
@@ -278,10 +283,22 @@
     # --- messages into events ---
 
     def on_call_received(self, message: CallReceived, now: float) -> i.Event | None:
+        self.arrivals.add(message)
+        return None
+
+    def accept(self, arrival: CallReceived, now: float) -> i.Event | None:
+        """Take a call from the queue of arrivals, unless its client has left meanwhile."""
         self.metrics.waiting -= 1
-        return self.table.accept(message.call, message.front, now)
+        if arrival.call in self.withdrawn_arrivals:
+            self.withdrawn_arrivals.discard(arrival.call)
+            self.table.notify_observers(arrival.call, "withdrawn")
+            return None
+        return self.table.accept(arrival.call, arrival.front, now)
 
     def on_call_withdrawn(self, message: CallWithdrawn, now: float) -> i.Event | None:
+        if self.arrivals.contains(message.call):
+            self.withdrawn_arrivals.add(message.call)
+            return None
         return self.table.withdraw(message.call)
 
     def on_workers_changed(self, message: WorkersChanged, now: float) -> i.Event | None:
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -34,6 +34,7 @@
 )
 from .line_buffer import LineBuffer
 from .outgoing import OutgoingQueue
+from .read_turns import TURN_LINES, ReadRate, ReadTurns
 from .unread import InputState, given_up_id, gives_up, has_hung_up, input_state, ms_since_data, peek
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while the mailbox is full
@@ -106,6 +107,7 @@
         log: Log,
         on_closed: Callable[[ClientActor], object],
         pauses: PauseWatch,
+        turns: ReadTurns | None = None,
     ) -> None:
         # the reserve is for answers: they must find space however fast a client sends
         super().__init__(f"client {name}", limits.client_mailbox, log, reserve=limits.client_mailbox * 3 // 4)
@@ -113,6 +115,8 @@
         sock.settimeout(limits.write_ms / 1000)
         self.sock, self.maker, self.core, self.limits, self.on_closed = sock, maker, core, limits, on_closed
         self.pauses, self.memory = pauses, core.memory
+        self.turns = turns or ReadTurns()
+        self.read_rate = ReadRate()
         self.client, self.peer = name, name.rpartition(":")[0]
         self.open: dict[int, Call] = {}
         self.ids: dict[Call, int] = {}
@@ -344,7 +348,16 @@
         connection. `recv` would report that too late, as the end of the stream lies behind unread bytes.
         """
         max_waiting = self.capacity - self.reserve
-        return self.post_waiting_lines(len(self.input), max_waiting)
+        while self.unposted and not self.finished:
+            if self.read_rate.is_high(now_ms()):
+                with self.turns.turn():
+                    is_open = self.post_waiting_lines(TURN_LINES, TURN_LINES)
+                gevent.sleep(0)
+            else:
+                is_open = self.post_waiting_lines(max_waiting, max_waiting)
+            if not is_open:
+                return False
+        return not self.finished
 
     def post_waiting_lines(self, count: int, max_waiting: int) -> bool:
         """Post so many of the complete lines, of which some may wait in the mailbox at a time.
@@ -387,8 +400,7 @@
         match message:
             case LineReceived(data, received_at):
                 self.release_input(len(data) + 1)
-                if data.strip():
-                    self.handle_line(data, received_at)
+                self.handle_line(data, received_at) if data.strip() else self.read_rate.count_line()
             case AnswerReady(call, reply):
                 self.write_answer(call, reply)
             case CallUnsafe(call):
@@ -433,12 +445,14 @@
             if message.jsonrpc != "2.0":
                 raise BadRequestError(INVALID, "jsonrpc: '2.0' is wanted")
             if method == "giveUp":
+                self.read_rate.count_line()
                 return self.handle_give_up(message)
             if message.id is None or message.id in self.open:
                 # a second answer could be sent under an id that is still open
                 raise BadRequestError(INVALID, "id: a new number is wanted")
             id = message.id
             if method == "probe":
+                self.read_rate.count_line()
                 return self.write({"id": id, "result": {"healthy": True}})
             if len(self.open) >= self.limits.open_per_connection:
                 raise BadRequestError(REFUSED, "too many open requests on this connection")
@@ -447,6 +461,7 @@
                 raise BadRequestError(REFUSED, "the open requests of this connection hold too much memory")
         except BadRequestError as error:
             return self.reject_line(id, method, error)
+        call.open_before = len(self.open)
         self.open[id], self.ids[call] = call, id
         self.open_bytes += request_size(len(call.body))
         self.core.offer(call, self)
@@ -457,6 +472,7 @@
         self.open_bytes -= request_size(len(call.body))
 
     def reject_line(self, id: int | None, method: str, error: BadRequestError) -> None:
+        self.read_rate.count_line()
         self.log("bad-request", f"{self.name}: {error}")
         if method in self.maker.classes:
             self.core.metrics.count_final_answer(method, "refused" if error.code == REFUSED else "failed")
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -20,6 +20,7 @@
 from ..memory_budget import CONNECTION_BYTES, Owner, Pressure
 from .client import ClientActor, CloseIfIdle, TransferWhenIdle
 from .listening import wait_for_listener
+from .read_turns import ReadTurns
 
 RELIEF_MS = 50.0  # between closings while the memory is short
 BACKLOG = 512  # connections that the kernel accepts ahead of the acceptor
@@ -93,6 +94,7 @@
         self.clients: dict[ClientActor, bool] = {}  # value: whether it was asked to leave
         self.memory = core.memory
         self.memory.on_change = self.memory_pressure_changed
+        self.turns = ReadTurns()
         self.stopping, self.all_closed = False, Event()
         self.client_closed = Event()  # set when a client connection has closed
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
@@ -302,6 +304,7 @@
             self.log,
             lambda c: self.blocking_send(ClientClosed(c)),
             self.pauses,
+            self.turns,
         )
         self.clients[client], client.has_sent_line = False, served_before
         client.start()
--- /dev/null
+++ b/harrieryoke/net/read_turns.py
@@ -0,0 +1,42 @@
+"""Fairness between clients: those that send much take turns, so that others wait for one at most."""
+
+from __future__ import annotations
+
+from gevent.lock import Semaphore
+
+BURST_LINES = 32.0  # that a client may send ahead of its rate: as many as it may have open
+LINES_PER_MS = 0.002
+TURN_LINES = 4  # that are handled in one turn before others go on
+
+
+class ReadRate:
+    """The recent rate of a client's lines that start no work: a token bucket.
+
+    Such lines are errors, `probe` and `giveUp`. Those that start work are bounded by the open calls.
+    """
+
+    __slots__ = ("lines", "updated_at")
+
+    def __init__(self) -> None:
+        self.lines, self.updated_at = BURST_LINES, 0.0
+
+    def count_line(self) -> None:
+        """Count a line."""
+        self.lines = max(-BURST_LINES, self.lines - 1)
+
+    def is_high(self, now: float) -> bool:
+        """Return whether the client sends more of them than its rate and burst; `now` is in milliseconds."""
+        self.lines = min(BURST_LINES, self.lines + (now - self.updated_at) * LINES_PER_MS)
+        self.updated_at = now
+        return self.lines < 0
+
+
+class ReadTurns:
+    """Lets one of the clients that send much go on at a time, in the order in which they ask."""
+
+    def __init__(self) -> None:
+        self.semaphore = Semaphore(1)
+
+    def turn(self) -> Semaphore:
+        """Return the context in which the client has its turn."""
+        return self.semaphore
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,42 @@
+"""Clients with much at once, or at full speed, delay themselves and not the others."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harrieryoke.core.arrivals import ArrivalQueue
+from harrieryoke.core.records import Call, CallReceived
+from harrieryoke.net.read_turns import BURST_LINES, LINES_PER_MS, ReadRate
+
+from .clients import Core
+
+
+def arrival(open_before: int) -> CallReceived:
+    front: object = Core()
+    return CallReceived(Call("0" * 16, 0, "f" * 16, 1000.0, open_before=open_before), front)  # type: ignore[arg-type]
+
+
+# Guards against a call that waits behind all calls of clients with many open ones.
+@given(st.lists(st.integers(0, 31), max_size=60), st.integers(1, 70))
+def test_calls_of_clients_with_fewer_open_ones_go_first(opens: list[int], limit: int) -> None:
+    queue, arrivals = ArrivalQueue(), [arrival(each) for each in opens]
+    for each in arrivals:
+        queue.add(each)
+    taken = list(queue.take(limit))
+    assert taken == sorted(arrivals, key=lambda each: each.call.open_before)[:limit]
+    assert len(queue) == len(arrivals) - len(taken)
+    assert all(queue.contains(each.call) is (each not in taken) for each in arrivals)
+
+
+# Guards against lines that start no work and are taken without a bound: errors, probes, calls given up.
+@given(st.lists(st.floats(0, 500), max_size=200))
+def test_client_is_loud_once_its_lines_pass_the_burst_and_the_rate(pauses: list[float]) -> None:
+    rate, now, count, started = ReadRate(), 0.0, 0, 0.0
+    for pause in pauses:
+        now += pause
+        if not rate.is_high(now):
+            rate.count_line()
+            count += 1
+    assert count <= BURST_LINES + (now - started) * LINES_PER_MS + 1
+    assert not ReadRate().is_high(now)
