Take late news of a host that left its address for no news of the new one there

Cause: whatever entry came last took the address. The class: an address is taken for an identity.

Why it works: an entry that is leaving does not take an address that an active host has, unless the same event has moved that host. The same holds for the net effect of events that are fetched again.

The scenario in test_platform.py failed before.

--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -268,10 +268,12 @@
             for id in [id for id in self.hosts if id not in listed]:
                 self.host_starts.forget(id)
                 self.remove_host(id)
-        changes = WorkerChanges()
+        changes, named = WorkerChanges(), {server.id for server in servers}
         for server in in_apply_order(servers):
             self.remember_server(server)
             entry = self.worker_entry(server)
+            if self.is_outdated(server, named):
+                entry = replace(entry, status=i.WorkerStatus.GONE)
             if entry.status is i.WorkerStatus.GONE:
                 self.host_starts.forget(server.id)
                 self.remove_host(server.id)
@@ -311,6 +313,17 @@
             return zones.index(name)
         return i.UNKNOWN_ZONE if name or len(zones) > 1 else 0
 
+    def is_outdated(self, server: Server, named: Collection[str]) -> bool:
+        """Return whether the entry is of a host that has left its address to another: it drains no more.
+
+        Hosts that the event itself has `named` may have moved.
+        """
+        address = parse_address(server.addr)
+        return server.state == "leaving" and any(
+            status.address == address and id not in named and self.servers[id].state == "active"
+            for id, (status, _) in self.hosts.items()
+        )
+
     def remove_previous_host(self, server: Server, changes: WorkerChanges) -> None:
         """Remove any other host at the server's address: the address belongs to this server now."""
         address = parse_address(server.addr)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -267,6 +267,22 @@
         expect h1 request body=x
         send h1 ok body=y
         expect c1 1 result y""",
+    "news of a host that has gone does not concern the new one at its address": """
+        expect bus 'from 1'
+        send bus active new@h1
+        wait list 1 model hosts changed
+        send bus leaving h1
+        wait list 1 model hosts changed
+        send c1 call 1 weight-read body=x
+        expect h1 request body=x
+        send h1 ok body=y
+        expect c1 1 result y
+        send bus left h1
+        wait list 1 model hosts changed
+        send c1 call 2 weight-read body=x
+        expect h1 request body=x
+        send h1 ok body=z
+        expect c1 2 result z""",
     "SIGTERM: new connections are served for a while, accepted calls are answered, exit 0": """
         send c1 call 1 weight-read
         expect h1 request
