--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -17,7 +17,9 @@
 LATE_MS = 100.0  # an attempt may begin so long after its client has left
 WAIT_MS = 50.0  # by which other clients may wait longer beside a loud one
 FLAT_MB = 1.0  # of growth after the first second that is no trend
-CROWDS = ("half_request", "short_lines", "unread_answers", "long_answers", "many_props")
+MEMORY_MB = (32, 64, 192)
+LONG_ANSWERS = "long_answers"
+SHORT_ANSWERS = ("half_request", "short_lines", "unread_answers", "many_props")
 
 StartPlay = Callable[[int], Play]
 
@@ -46,15 +48,14 @@
     unanswered: int  # connections of the crowd without an answer or a close in time
 
 
-@pytest.fixture(
-    scope="module",
-    params=[(kinds, mb) for kinds in (*([kind] for kind in CROWDS), [*CROWDS]) for mb in (32, 64, 192)],
-    ids=lambda param: f"{param[0][0] if len(param[0]) == 1 else 'all kinds'}-{param[1]}",
-)
-def crowd_play(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> CrowdPlay:
-    """Play a crowd of one kind, or of all kinds at once, beside a usual client."""
-    kinds, memory_mb = request.param
-    play = Play(tmp_path_factory.mktemp("crowd"), memory_mb)
+PLAYS: dict[tuple[tuple[str, ...], int], CrowdPlay] = {}  # those made so far: each is made once
+
+
+def play_crowd(folders: pytest.TempPathFactory, kinds: tuple[str, ...], memory_mb: int) -> CrowdPlay:
+    """Play a crowd of these kinds beside a usual client."""
+    if (kinds, memory_mb) in PLAYS:
+        return PLAYS[kinds, memory_mb]
+    play = Play(folders.mktemp("crowd"), memory_mb)
     try:
         for seed, kind in enumerate(kinds):
             play.start_crowd(kind, CROWD // len(kinds), CROWD_S, seed)
@@ -63,25 +64,56 @@
         usual.join()
         outcomes, exit_code = frozenset(play.usual.outcomes), play.process.poll()
         peak_mb = play.memory_mb() if exit_code is None else float("inf")
-        return CrowdPlay(memory_mb, peak_mb, exit_code, outcomes, unanswered)
     finally:
         play.close()
+    made = PLAYS[kinds, memory_mb] = CrowdPlay(memory_mb, peak_mb, exit_code, outcomes, unanswered)
+    return made
+
+
+def of_sizes(*crowds: tuple[str, ...]) -> pytest.MarkDecorator:
+    """Run the test for each crowd at each size of the memory."""
+    params = [(kinds, mb) for kinds in crowds for mb in MEMORY_MB]
+    ids = [f"{kinds[0] if len(kinds) == 1 else 'all kinds'}-{mb}" for kinds, mb in params]
+    return pytest.mark.parametrize(("kinds", "memory_mb"), params, ids=ids)
+
+
+ALL_KINDS = (LONG_ANSWERS, *SHORT_ANSWERS)
+EACH_KIND = [(kind,) for kind in ALL_KINDS]
 
 
 # Guards against a crowd that makes the process pass its memory limit, by one kind of client or by all.
-def test_crowd_stays_within_the_memory(crowd_play: CrowdPlay) -> None:
-    assert crowd_play.exit_code is None
-    assert crowd_play.peak_mb <= crowd_play.memory_mb
+@of_sizes(*EACH_KIND, ALL_KINDS)
+def test_crowd_stays_within_the_memory(
+    tmp_path_factory: pytest.TempPathFactory, kinds: tuple[str, ...], memory_mb: int
+) -> None:
+    play = play_crowd(tmp_path_factory, kinds, memory_mb)
+    assert play.exit_code is None
+    assert play.peak_mb <= memory_mb
 
 
 # Guards against clients of a crowd that are kept without an answer or a close.
-def test_crowd_is_answered_in_time(crowd_play: CrowdPlay) -> None:
-    assert crowd_play.unanswered == 0
+@of_sizes(*EACH_KIND, ALL_KINDS)
+def test_crowd_is_answered_in_time(
+    tmp_path_factory: pytest.TempPathFactory, kinds: tuple[str, ...], memory_mb: int
+) -> None:
+    assert play_crowd(tmp_path_factory, kinds, memory_mb).unanswered == 0
 
 
 # Guards against a crowd that costs others their calls.
-def test_usual_client_loses_no_call_beside_a_crowd(crowd_play: CrowdPlay) -> None:
-    assert crowd_play.outcomes == {"served"}
+@of_sizes(*[(kind,) for kind in SHORT_ANSWERS])
+def test_usual_client_loses_no_call_beside_a_crowd(
+    tmp_path_factory: pytest.TempPathFactory, kinds: tuple[str, ...], memory_mb: int
+) -> None:
+    assert play_crowd(tmp_path_factory, kinds, memory_mb).outcomes == {"served"}
+
+
+# Guards against calls of others that are refused or lost while a crowd waits for long answers.
+def test_usual_client_loses_no_call_beside_a_crowd_with_long_answers(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    for kinds in ((LONG_ANSWERS,), ALL_KINDS):
+        for memory_mb in MEMORY_MB:
+            assert play_crowd(tmp_path_factory, kinds, memory_mb).outcomes == {"served"}
 
 
 # Guards against one client at full speed that makes the memory grow without end, or others wait.
