--- a/tests/overload.py
+++ b/tests/overload.py
@@ -28,6 +28,7 @@
 from harrieryoke.lab.hosts import EmulatedBus
 from harrieryoke.net import frames
 
+from .kernel_memory import kernel_bytes
 from .scenario import ROOT, SETTINGS, free_address
 
 HOSTS = 6
@@ -36,11 +37,21 @@
 FUNCTIONS = 16
 LONG_ANSWER_BYTES = 230_000
 CONNECT_TIMEOUT_S = 5.0
+BUDGET_MS = 3500.0
+LATE_ANSWER_MS = 500.0  # after its time an answer earns nothing, later it counts as lost
+LOST, LATE = "lost: the connection ended", "lost: answered late"
+WATCH_S = 0.15
+END_S = 0.5  # for the clients of a crowd to end
 ANSWER_WITHIN_MS = 3000.0  # a bad client is owed a refusal, an error or a close within this time
 
 
 def call_line(
-    id: int, rng: random.Random, answer_bytes: int = 0, budget: float = 3500, size: int = 300, **params: Any
+    id: int,
+    rng: random.Random,
+    answer_bytes: int = 0,
+    budget: float = BUDGET_MS,
+    size: int = 300,
+    **params: Any,
 ) -> bytes:
     """Return a call for an answer of that size; its function is one of FUNCTIONS, or of `params`."""
     all_params: dict[str, Any] = {
@@ -190,6 +201,29 @@
         yield
 
 
+def slow_requests(sock: socket.socket, rng: random.Random) -> Iterator[None]:
+    """Sound requests of 16 to 53 KB, one after the other, each in pieces with short pauses."""
+    for id in range(1, 1_000_000):
+        line = call_line(id, rng, size=rng.randrange(12_000, 16_385))
+        padding = max(0, rng.randrange(16_000, 53_000) - len(line))
+        if padding:
+            line = call_line(id, rng, size=12_000, props="p" * padding + ":1")
+        while line:
+            piece = rng.randrange(1000, 3001)
+            sock.sendall(line[:piece])
+            line = line[piece:]
+            gevent.sleep(0.02 + 0.1 * rng.random())
+            yield
+
+
+def usual_calls(sock: socket.socket, rng: random.Random) -> Iterator[None]:
+    """Three calls of 4 KB a second."""
+    for id in range(1, 1_000_000):
+        sock.sendall(call_line(id, rng, size=3000))
+        gevent.sleep(1 / 3)
+        yield
+
+
 BEHAVIOURS: dict[str, Callable[[socket.socket, random.Random], Iterator[None]]] = {
     behaviour.__name__: behaviour
     for behaviour in (
@@ -200,8 +234,14 @@
         many_props,
         unsound_lines,
         withdrawn_calls,
+        slow_requests,
+        usual_calls,
     )
 }
+VISITS = "visits"  # each connection shows one of VISIT_KINDS for VISIT_S and ends by a close or a reset
+VISIT_KINDS = ("half_request", "short_lines", "unread_answers", "long_answers", "many_props", "slow_requests")
+VISIT_S = (1.0, 4.0)
+RESET_AT_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger
 READ_BYTES_S = {"unread_answers": 0, "long_answers": 1_000_000}  # others read all
 
 
@@ -210,16 +250,25 @@
 
     def __init__(self, address: tuple[str, int], kind: str, rng: random.Random, result: CrowdResult) -> None:
         self.address, self.kind, self.rng, self.result = address, kind, rng, result
+        self.visits = kind == VISITS
 
     def run(self) -> None:
         while True:
             gevent.sleep(self.rng.random() * 0.2)
             try:
                 with socket.create_connection(self.address, CONNECT_TIMEOUT_S) as sock:
-                    self.use(sock)
+                    self.visit(sock) if self.visits else self.use(sock)
             except OSError:
                 pass
 
+    def visit(self, sock: socket.socket) -> None:
+        """Use the connection in one of several ways for a short time."""
+        self.kind = self.rng.choice(VISIT_KINDS)
+        with gevent.Timeout(self.rng.uniform(*VISIT_S), False):
+            self.use(sock)
+        if self.rng.random() < 0.5:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
     def use(self, sock: socket.socket) -> None:
         sock.settimeout(None)
         connected_at, first_answer = now_ms(), Event()
@@ -258,7 +307,7 @@
     sock.sendall(b"".join(lines))
     gevent.sleep(rng.random() * 0.15)
     if how == "resets":
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
     if how == "half-closes":
         sock.shutdown(socket.SHUT_WR)
     else:
@@ -281,7 +330,8 @@
         clients = [CrowdClient(address, kind, random.Random(rng.random()), result) for _ in range(count)]
         greenlets = [gevent.spawn(client.run) for client in clients]
         gevent.sleep(seconds)
-        gevent.killall(greenlets)
+        gevent.killall(greenlets, block=False)
+        gevent.sleep(END_S)
     names = ("connections", "unanswered", "answers", "left")
     print(json.dumps({name: getattr(result, name) for name in names}), flush=True)
 
@@ -328,6 +378,62 @@
         return ordered[int(share * (len(ordered) - 1))] if ordered else float("inf")
 
 
+@dataclass(slots=True)
+class SteadyClient:
+    """Calls at a steady rate on one connection, and on a new one after its end."""
+
+    address: tuple[str, int]
+    seed: int
+    outcomes: list[str] = field(default_factory=list)  # one for each call whose time is up
+    open: dict[int, float] = field(default_factory=dict)  # ids of open calls and when they were sent
+    latencies: list[float] = field(default_factory=list)  # of the served ones
+
+    def run(self, seconds: float) -> None:
+        rng, until, id = random.Random(f"steady {self.seed}"), now_ms() + seconds * 1000, 0
+        while now_ms() < until:
+            try:
+                with socket.create_connection(self.address, CONNECT_TIMEOUT_S) as sock:
+                    reader = gevent.spawn(self.read, sock)
+                    while now_ms() < until and not reader.dead:
+                        id += 1
+                        self.open[id] = now_ms()
+                        sock.sendall(call_line(id, rng))
+                        gevent.sleep(1 / USUAL_RATE_S)
+                    if not reader.dead:
+                        reader.join(timeout=4.0 if self.open else 0)
+                    reader.kill()
+            except OSError:
+                pass
+            self.outcomes += [LOST] * len(self.open)
+            self.open.clear()
+            gevent.sleep(0.05)
+
+    def read(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            for line in sock.makefile("rb"):
+                answer = json.loads(line)
+                waited = now_ms() - self.open.pop(answer["id"], 0.0)
+                outcome = "served" if "result" in answer else str(answer["error"]["message"])
+                self.outcomes.append(outcome if waited <= BUDGET_MS + LATE_ANSWER_MS else LATE)
+                if outcome == "served":
+                    self.latencies.append(waited)
+
+
+@dataclass(slots=True)
+class Peaks:
+    """Largest sizes that were seen, in MB; `both` is of one moment."""
+
+    resident: float = 0.0
+    kernel: float = 0.0
+    both: float = 0.0
+    descriptors: int = 0
+
+    def update(self, resident: float, kernel: float, descriptors: int) -> None:
+        self.resident, self.kernel = max(self.resident, resident), max(self.kernel, kernel)
+        self.both = max(self.both, resident + kernel)
+        self.descriptors = max(self.descriptors, descriptors)
+
+
 class Play:
     """One invoker with the command of the deploy file, its model hosts and its clients."""
 
@@ -376,6 +482,21 @@
         self.crowds.append(crowd)
         cast(Any, crowd.stdout).readline()  # it has started
 
+    def watch_memory(self) -> Peaks:
+        """Look at the memory of the process, and at that of the kernel for it, until it ends."""
+        peaks = Peaks()
+
+        def watch() -> None:
+            with contextlib.suppress(OSError, IndexError):
+                while self.process.poll() is None:
+                    kernel = kernel_bytes(self.process.pid, self.usual.address[1]) / 2**20
+                    descriptors = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+                    peaks.update(self.memory_mb("VmRSS"), kernel, descriptors)
+                    gevent.sleep(WATCH_S)
+
+        gevent.spawn(watch)
+        return peaks
+
     def log(self) -> str:
         return (self.folder / "log").read_text()
 
--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,91 @@
+"""One invoker on real processes, whose memory limit holds socket buffers too (docs/incidents/58)."""
+
+from __future__ import annotations
+
+import signal
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+import pytest
+
+from .overload import VISITS, Peaks, Play, SteadyClient
+
+PLAY_S = 8.0
+RELOAD_EACH_S = 2.0
+STEADY_CLIENTS = 10
+# kind of client and how many; 1,100 are more than the descriptors allow
+CROWDS = (
+    ("slow_requests", 1100),
+    ("short_lines", 1100),
+    ("half_request", 330),
+    ("unread_answers", 330),
+    ("usual_calls", 800),
+    (VISITS, 400),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlay:
+    """What one play showed; `outcomes` are those of the steady clients' calls."""
+
+    exit_code: int | None
+    peaks: Peaks
+    outcomes: Counter[str]
+
+
+def play(
+    folder: Path, kind: str, clients: int, memory_mb: int, steady: int = 0, reloads: bool = False
+) -> MemoryPlay:
+    """Play a crowd for PLAY_S beside steady clients."""
+    made = Play(folder, memory_mb)
+    try:
+        peaks = made.watch_memory()
+        made.start_crowd(kind, clients, PLAY_S)
+        others = [SteadyClient(made.usual.address, seed) for seed in range(steady)]
+        running = [gevent.spawn(client.run, PLAY_S) for client in others]
+        end = gevent.spawn(made.crowd_results)
+        while reloads and not end.ready():
+            made.process.send_signal(signal.SIGHUP)
+            end.join(RELOAD_EACH_S)
+        gevent.joinall([end, *running], raise_error=True)
+        exit_code = made.process.poll()
+        if exit_code is None:
+            peaks.update(made.memory_mb(), 0.0, 0)
+    finally:
+        made.close()
+    return MemoryPlay(exit_code, peaks, Counter(o for client in others for o in client.outcomes))
+
+
+def check_memory(made: MemoryPlay, memory_mb: int) -> None:
+    assert made.exit_code is None
+    assert made.peaks.resident <= memory_mb
+    assert made.peaks.both <= memory_mb
+
+
+# Guards against a process whose resident memory, or that with its socket buffers, passes its limit.
+@pytest.mark.parametrize("memory_mb", [32, 64])
+@pytest.mark.parametrize(("kind", "clients"), CROWDS)
+def test_resident_memory_and_socket_buffers_stay_within_the_limit(
+    tmp_path: Path, kind: str, clients: int, memory_mb: int
+) -> None:
+    check_memory(play(tmp_path, kind, clients, memory_mb), memory_mb)
+
+
+# Guards against a limit that is passed while the configuration is read again beside a crowd.
+def test_memory_stays_within_the_limit_during_reloads(tmp_path: Path) -> None:
+    check_memory(play(tmp_path, VISITS, 400, 64, reloads=True), 64)
+
+
+# Guards against calls that are lost with a connection that is closed, or answered too late, beside a crowd.
+@pytest.mark.parametrize("memory_mb", [64, 192])
+def test_no_call_of_steady_clients_is_lost_beside_a_crowd(tmp_path: Path, memory_mb: int) -> None:
+    outcomes = play(tmp_path, VISITS, 400, memory_mb, STEADY_CLIENTS).outcomes
+    assert outcomes["served"] and not [outcome for outcome in outcomes if outcome.startswith("lost")]
+
+
+# Guards against calls of clients that hold little, which are refused in place of those that hold much.
+@pytest.mark.parametrize("memory_mb", [64, 192])
+def test_steady_clients_are_served_beside_a_crowd(tmp_path: Path, memory_mb: int) -> None:
+    assert set(play(tmp_path, VISITS, 400, memory_mb, STEADY_CLIENTS).outcomes) == {"served"}
