Free what an ended connection held at once, not at the next full collection

Cause: a call refers to the connection that it came by, and the connection to its open calls. An ended connection gave its bytes back to the account and kept them, up to 64 KB of a partial line among them, until Python's full collection, which is rare. The class: a charge is given back before what it stands for.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -529,6 +529,11 @@
         self.end_connection()
         self.sock.close()
         self.release_input(self.charged_input)
-        for call in self.ids:
+        self.input.clear()
+        calls = list(self.ids)
+        # each call refers back to this actor, and such a cycle would live until the next full collection
+        self.ids.clear()
+        self.open.clear()
+        for call in calls:
             self.core.withdraw(call)
         self.on_closed(self)
--- a/harrieryoke/net/line_buffer.py
+++ b/harrieryoke/net/line_buffer.py
@@ -41,6 +41,10 @@
         self.line_end = self.data.find(b"\n")
         return line
 
+    def clear(self) -> None:
+        """Discard all bytes."""
+        self.data, self.line_end = bytearray(), -1
+
     def unread(self) -> bytes:
         """Return all bytes that are not handled."""
         return bytes(self.data)
