Have the allocator give freed lines and bodies back

What callers saw: the process grows far beyond what it holds, and stays there after the clients have left.

Cause: buffers of hundreds of clients grow side by side in one heap; freed ones lie between others that live, and their pages stay resident. Larger blocks get pages of their own from now on (mallopt), the heap is one, and it can be trimmed.

--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -16,6 +16,7 @@
 from .checks import ConfigError
 from .config import Config, read_ceilings
 from .core.actor import spawn
+from .core.allocator import Allocator
 from .core.calls import CallMaker
 from .core.clock import now_ms
 from .core.module import ModuleActor
@@ -41,6 +42,8 @@
     def __init__(self, config: Config, log: Log, read_again: Callable[[], Config] | None = None) -> None:
         self.config, self.log, self.limits, self.read_again = config, log, config.limits, read_again
         settings = config.settings
+        self.allocator = Allocator()
+        self.allocator.configure()
         self.core = ModuleActor(settings, config.seed, self.limits, log)
         self.hosts = HostListActor(
             settings,
