Measure resident memory and socket buffers while serving, and steer by them

Cause: the budget was the rest beside a bare process, so that the sum of constants is exactly the limit; what the constants miss had no place, nothing compared them with the resident size, and no socket had a size. The class: a model that is never compared with what it models.

Why it works: what is in use is the larger of the account and of what is measured (resident size and socket buffers beyond the bare process), so the same levels and gates follow the measurement: before each 16 KB that are charged, and each 50 ms (250 while little is held) for what grows without a charge. Socket buffers get a size from the memory, 4 to 32 KB in each direction, and the backlog has one.

Each second under pressure `memory-state` logs resident size, kernel's share, account by owner, connections and descriptors; show-memory has the same.

--- a/harrieryoke/admin/commands.py
+++ b/harrieryoke/admin/commands.py
@@ -61,6 +61,10 @@
         f"invoker_memory_budget_bytes {memory.total}",
         f"invoker_memory_pressure {int(memory.pressure)}",
         f"invoker_memory_resident_bytes {resident}",
+        f"invoker_memory_kernel_bytes {memory.sizes.kernel}",
+        f"invoker_memory_held_bytes {memory.held()}",
+        f"invoker_connections {memory.sizes.connections}",
+        f"invoker_descriptors {memory.sizes.descriptors}",
     ]
 
 
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -7,6 +7,11 @@
 PROCESS_MB = 24  # resident after the start, before anybody has connected
 WORKING_MB = 3  # that the process grows by at first use, whoever uses it
 MIN_BUDGET_BYTES = 2**20  # below it nobody could be served
+MARGIN_SHARE = 0.04  # of the memory, for what grows between two measurements
+SOCKET_BUFFERS_SHARE = 1 / 16  # of the budget, for one direction of the usual number of clients
+MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 32 * 1024
+BACKLOG_ENTRY_BYTES = 64 * 1024  # of the budget, for each connection that may wait in the backlog
+MIN_BACKLOG, MAX_BACKLOG = 64, 512
 
 
 @dataclass(slots=True)
@@ -84,5 +89,15 @@
 
     def budget_bytes(self, process_bytes: int = PROCESS_MB * 2**20) -> int:
         """Return the memory that others may make the process hold, beside a process of that size."""
-        fixed = process_bytes + WORKING_MB * 2**20 + self.function_bytes()
+        margin = max(self.function_bytes(), MARGIN_SHARE * self.memory_mb * 2**20)
+        fixed = process_bytes + WORKING_MB * 2**20 + margin
         return int(max(self.memory_mb * 2**20 - fixed, MIN_BUDGET_BYTES))
+
+    def socket_buffer_bytes(self) -> int:
+        """Return the size of a client's socket buffer in one direction; the kernel takes up to twice that."""
+        share = int(self.budget_bytes() * SOCKET_BUFFERS_SHARE / max(1, self.sockets // 3))
+        return min(max(share, MIN_SOCKET_BUFFER_BYTES), MAX_SOCKET_BUFFER_BYTES)
+
+    def backlog(self) -> int:
+        """Return how many connections the kernel accepts ahead of the process."""
+        return min(max(self.budget_bytes() // BACKLOG_ENTRY_BYTES, MIN_BACKLOG), MAX_BACKLOG)
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -4,22 +4,28 @@
 can't charge waits, refuses or closes. As it fills, these give way in this order (`Pressure`): clients that
 hold more than their share are no longer read; stalled and idle connections close; new calls are refused. A
 part is kept for answers to calls that were taken. No I/O and no clock.
+
+The charges are constants, so what the process really takes is measured beside them (`measure_with`): resident
+memory and socket buffers beyond the bare process count like charges, whichever is more.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, IntEnum
 
 RESERVE_SHARE = 0.15  # of the budget, for answers and what model hosts and discovery send
 FAIR_SHARE = 1 / 8  # of what is free, for one client: many greedy ones leave room for those that hold little
 SHARED_SHARE = 0.8  # of the budget without the reserve, for shares; the rest is for those that hold little
 MIN_REQUESTS_BYTES = 12 * 1024  # that the open requests of a client may hold under any pressure
-MIN_INPUT_BYTES = 2048  # that a client may have unhandled under any pressure: an ordinary request
+MIN_INPUT_BYTES = 6 * 1024  # that a client may have unhandled under any pressure: an ordinary request
+LINES_SHARE = 0.65  # of the budget without the reserve, up to which the rest of a long line may be reserved
 FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
 CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
 CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
 REQUEST_BYTES = 4 * 1024  # of an open request, without its body
+MEASURE_EACH_BYTES = 16 * 1024  # charged, after which the resident memory is read again
 
 
 class Owner(Enum):
@@ -49,6 +55,16 @@
 LEVELS = {Pressure.READING: (0.5, 0.45), Pressure.CLOSING: (0.7, 0.65), Pressure.REFUSING: (0.9, 0.85)}
 
 
+@dataclass(slots=True)
+class MemorySizes:
+    """What was measured last, in bytes, and how much is open."""
+
+    resident: int = 0
+    kernel: int = 0  # in the buffers of the sockets
+    connections: int = 0
+    descriptors: int = 0
+
+
 def ignore_change(previous: Pressure) -> None:
     """Stands in for the callback where nobody is to be told."""
 
@@ -61,6 +77,10 @@
         self.used_total = 0
         self.pressure = Pressure.NONE
         self.on_change: Callable[[Pressure], None] = ignore_change  # gets the level before
+        self.sizes = MemorySizes()
+        self.read_resident: Callable[[], int] | None = None
+        self.base = 0  # bytes of the bare process, which are no use of the budget
+        self.charged_since_reading = 0
         self.resize(total)
 
     def resize(self, total: int) -> None:
@@ -68,13 +88,32 @@
         self.total = max(total, 1)
         self.common = int(self.total * (1 - RESERVE_SHARE))
 
+    def measure_with(self, read_resident: Callable[[], int], base: int) -> None:
+        """Read the resident memory from now on; `base` bytes of it are the bare process."""
+        self.read_resident, self.base = read_resident, base
+        self.measure()
+
+    def measure(self) -> None:
+        """Read the resident memory, and follow it with the level."""
+        self.charged_since_reading = 0
+        if self.read_resident is not None:
+            self.sizes.resident = self.read_resident()
+            self.update_pressure()
+
+    def held(self) -> int:
+        """Return how much of the budget is in use: what is charged or what is measured, whichever is more."""
+        if self.read_resident is None:
+            return self.used_total
+        measured = self.sizes.resident + self.sizes.kernel - self.base + self.charged_since_reading
+        return max(self.used_total, measured)
+
     def limit(self, owner: Owner) -> int:
         """Return up to which total the owner may charge."""
         return self.total if owner in MAY_USE_RESERVE else self.common
 
     def free(self, owner: Owner) -> int:
         """Return how many bytes the owner may charge now."""
-        return self.limit(owner) - self.used_total
+        return self.limit(owner) - self.held()
 
     def try_charge(self, owner: Owner, size: int) -> bool:
         """Charge so many bytes; return False, and charge nothing, if the budget does not allow it."""
@@ -82,6 +121,9 @@
             return False
         self.used[owner] += size
         self.used_total += size
+        self.charged_since_reading += size
+        if self.charged_since_reading >= MEASURE_EACH_BYTES:
+            self.measure()
         self.update_pressure()
         return True
 
@@ -98,7 +140,7 @@
 
     def update_pressure(self) -> None:
         """Follow the use with the level; a level ends a little below where it began."""
-        level, share = Pressure.NONE, self.used_total / self.common
+        level, share = Pressure.NONE, self.held() / self.common
         for each, (begin, end) in LEVELS.items():
             if share >= (end if self.pressure >= each else begin):
                 level = each
@@ -110,12 +152,16 @@
         """Return how much one client may hold; as long as there is no pressure, that is not limited here."""
         if self.pressure is Pressure.NONE:
             return self.total
-        return max(0, int((self.common * SHARED_SHARE - self.used_total) * FAIR_SHARE))
+        return max(0, int((self.common * SHARED_SHARE - self.held()) * FAIR_SHARE))
 
     def may_hold(self, held: int, size: int) -> bool:
         """Return whether a client whose open requests hold so much may have another one of that size."""
         return held + size <= max(MIN_REQUESTS_BYTES, self.fair_share())
 
+    def may_reserve_line(self, size: int) -> bool:
+        """Return whether so much may be reserved for the rest of a line, without having clients closed."""
+        return self.held() + size <= self.common * LINES_SHARE
+
     def may_read_frame(self, size: int) -> bool:
         """Return whether an answer that takes so much may be read: one always may, more within a share."""
         used = self.used[Owner.FRAMES]
@@ -128,7 +174,16 @@
     def describe(self) -> str:
         """Return the account in one line, in kB."""
         owners = ", ".join(f"{owner.value} {size // 1024}" for owner, size in self.used.items() if size)
-        return f"{self.used_total // 1024} of {self.total // 1024} kB: {owners or 'nothing'}"
+        account = f"{self.used_total // 1024} of {self.total // 1024} kB: {owners or 'nothing'}"
+        return f"{account}; {self.describe_sizes()}" if self.read_resident is not None else account
+
+    def describe_sizes(self) -> str:
+        """Return what was measured last in one line, in kB."""
+        sizes = self.sizes
+        return (
+            f"resident {sizes.resident // 1024} kB, kernel {sizes.kernel // 1024} kB, "
+            f"{sizes.connections} connections, {sizes.descriptors} descriptors"
+        )
 
 
 class Reservation:
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -15,7 +15,7 @@
 from ..core.local_errors import RetryDelays, retry_local
 from ..core.module import ModuleActor
 from ..core.pauses import PauseWatch
-from ..limits import Limits
+from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
 from ..memory_budget import CONNECTION_BYTES, Owner, Pressure
 from .client import ClientActor, CloseIfIdle, TransferWhenIdle
@@ -23,7 +23,6 @@
 from .read_turns import ReadTurns
 
 RELIEF_MS = 50.0  # between closings while the memory is short
-BACKLOG = 512  # connections that the kernel accepts ahead of the acceptor
 
 
 @dataclass(slots=True)
@@ -83,6 +82,12 @@
     return ConnectionAccepted(sock, f"{peer[0]}:{peer[1]}")
 
 
+def limit_buffers(listening: socket.socket, size: int) -> None:
+    """Give the connections accepted here socket buffers of so many bytes; the kernel doubles them."""
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 class PlatformFront(Actor):
     """Listens on the configured address, owns the client connections, and shuts down in order."""
 
@@ -108,7 +113,8 @@
         A new one is `shared` with other processes if the handover of the socket can fail.
         """
         if listening is None:
-            listening = wait_for_listener(self.address, BACKLOG, self.limits, self.log, shared)
+            listening = wait_for_listener(self.address, self.limits.backlog(), self.limits, self.log, shared)
+        limit_buffers(listening, self.limits.socket_buffer_bytes())
         self.listening = listening
         self.pauses.restart(now_ms())
         super().start()
@@ -157,6 +163,10 @@
             self.try_send(CloseIdleClient())
             self.client_closed.wait(self.limits.client_fresh_ms / 1000)
 
+    def client_sockets(self) -> list[socket.socket]:
+        """Return the sockets of the clients."""
+        return [client.sock for client in self.clients]
+
     @property
     def hard_limit(self) -> int:
         """The most client connections: ordinarily they use a third of the sockets."""
@@ -270,7 +280,7 @@
             return
         self.listening.settimeout(0)
         give_up_at, pauses = now_ms() + self.limits.stop_accepting_ms, RetryDelays()
-        for _ in range(BACKLOG):
+        for _ in range(MAX_BACKLOG):
             try:
                 sock, peer = self.listening.accept()
             except BlockingIOError:
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -22,9 +22,11 @@
 from .core.module import ModuleActor
 from .core.process_memory import resident_bytes
 from .core.records import CountersRequested, SettingsChanged, Stopping
+from .limits import WORKING_MB
 from .log import Log
 from .net.bus_follower import BusFollower
 from .net.hostlist import HostListActor
+from .net.memory_monitor import MemoryMonitor
 from .net.platform import PlatformFront, StopListening
 from .parts import CouncilPart, Parts
 from .reload import describe_changes, find_missing_key, merge
@@ -64,6 +66,7 @@
         )
         self.maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, self.maker, self.core, self.limits, log)
+        self.memory_monitor = MemoryMonitor(self.core.memory, self.front.client_sockets, self.allocator, log)
         self.parts = (
             Parts()
             if config.operator is None
@@ -129,6 +132,8 @@
         self.core.memory.resize(budget)
         sizes = f"{budget // 1024} kB beside {resident // 1024} kB resident, of {self.limits.memory_mb} MB"
         self.log("memory-budget", sizes)
+        if resident:
+            self.memory_monitor.start(resident + WORKING_MB * 2**20)
 
     def open_council(self) -> None:
         """Open the council's folder. Must precede the takeover of the listener, since it may fail."""
