Take what the kernel shows for a stall, and close no connection that is owed answers for memory

What callers saw: connections of usual clients were closed with 45 to 65 open calls (`the memory is short; 1085 bytes stand still`), calls refused with `read too slowly`, and clients with slow sound requests closed after 0.25 s.

Cause: a stall was told by how long ago this process had read or written something, so that its own delay counted as the client's; unread bytes older than 100 ms made a call unsafe also where the client could still send. The class: a delay of this process is taken for a state of its peer.

Why it works: a client stalls if the kernel has received nothing from it for 250 ms and has nothing unread, or accepts nothing for it; one that is owed an answer does not give way. A write that timed out is tried again where the socket is writable. A call is unsafe only while the receive buffer may be full: else the client's end would have arrived. Under pressure a long line is read once the memory for its rest is reserved, or in the order of greed given up; before, all long lines were read side by side and none came to its end.

`calls-dropped` logs each close of this process with open calls and its reason, and is never omitted.

--- a/harrieryoke/log.py
+++ b/harrieryoke/log.py
@@ -6,6 +6,9 @@
 import time
 from contextlib import suppress
 
+# never omitted: each tells of calls that were lost
+UNLIMITED_KINDS = frozenset({"calls-dropped"})
+
 
 class Log:
     """Writes log lines. `kind` is the fixed first word, listed on the on-call page."""
@@ -24,14 +27,14 @@
         now = time.time()
         if int(now) != self.current_second:
             for limited, count in self.lines_in_second.items():
-                if count > self.lines_per_s:
+                if count > self.lines_per_s and limited not in UNLIMITED_KINDS:
                     self.try_write_line(
                         now, "log-limited", f"{limited}: {count - self.lines_per_s} lines omitted"
                     )
             self.current_second, self.lines_in_second = int(now), {}
         self.totals[kind] = self.totals.get(kind, 0) + 1
         self.lines_in_second[kind] = self.lines_in_second.get(kind, 0) + 1
-        if self.lines_in_second[kind] <= self.lines_per_s:
+        if self.lines_in_second[kind] <= self.lines_per_s or kind in UNLIMITED_KINDS:
             self.try_write_line(now, kind, text, fields)
 
     def try_write_line(
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -18,7 +18,7 @@
 RESERVE_SHARE = 0.15  # of the budget, for answers and what model hosts and discovery send
 FAIR_SHARE = 1 / 8  # of what is free, for one client: many greedy ones leave room for those that hold little
 SHARED_SHARE = 0.8  # of the budget without the reserve, for shares; the rest is for those that hold little
-MIN_REQUESTS_BYTES = 12 * 1024  # that the open requests of a client may hold under any pressure
+MIN_REQUESTS_BYTES = 16 * 1024  # that the open requests of a client may hold under any pressure
 MIN_INPUT_BYTES = 6 * 1024  # that a client may have unhandled under any pressure: an ordinary request
 LINES_SHARE = 0.65  # of the budget without the reserve, up to which the rest of a long line may be reserved
 FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -16,10 +16,11 @@
 from ..core.local_errors import is_kernel_timeout
 from ..core.module import ModuleActor
 from ..core.pauses import PauseWatch
+from ..core.process_memory import is_receive_buffer_full
 from ..core.records import Call
 from ..limits import Limits
 from ..log import Log
-from ..memory_budget import MIN_INPUT_BYTES, Owner, request_size
+from ..memory_budget import MIN_INPUT_BYTES, Owner, Pressure, request_size
 from .jsonrpc import (
     BAD_PARAMS,
     FAILED,
@@ -35,9 +36,19 @@
 from .line_buffer import LineBuffer
 from .outgoing import OutgoingQueue
 from .read_turns import TURN_LINES, ReadRate, ReadTurns
-from .unread import InputState, given_up_id, gives_up, has_hung_up, input_state, ms_since_data, peek
+from .unread import (
+    InputState,
+    given_up_id,
+    gives_up,
+    has_hung_up,
+    input_state,
+    is_writable,
+    ms_since_data,
+    peek,
+)
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while the mailbox is full
+MEMORY_POLL_MS = 60.0  # between checks for memory to read on
 MAX_UNSENT_MESSAGES = 256
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
@@ -125,9 +136,11 @@
         self.transfer_request: TransferWhenIdle | None = None
         self.input = LineBuffer(limits.line_bytes)
         self.charged_input = 0  # bytes read and not handled
+        self.reserved_input = 0  # charged for the rest of a line
         self.open_bytes = 0  # of the open calls, as charged
         self.received_at = 0.0  # earliest time at which they may have been received
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
+        self.read_at = float("-inf")  # when bytes were read last
         self.unread_since: float | None = None  # of the bytes read last and what follows them
         # when the client was last active, or the first byte of a partial line was received
         self.last_active = now_ms()
@@ -173,14 +186,30 @@
         return self.input.has_line()
 
     def stalled_bytes(self, now: float) -> int:
-        """Return what the client holds here without moving on for some time; 0 if it moves on."""
+        """Return what the client holds here without moving on for some time; 0 if it moves on.
+
+        It moves on if the kernel has something from it that is not read here, or accepts something for it: a
+        delay of this process is not the client's. A client that is owed answers has not stalled. One whose
+        long line can't be read for want of memory has: those that hold little need its place.
+        """
+        if self.open or self.mailbox or self.unposted:
+            return 0
         stalled = 0
         if self.partial and now - self.last_active > STALLED_MS:
-            stalled += self.charged_input
-        if self.outgoing.stalled_since is not None and now - self.outgoing.stalled_since > STALLED_MS:
+            stalled += self.charged_input if self.lacks_memory() or self.sends_nothing() else 0
+        since = self.outgoing.stalled_since
+        if since is not None and now - since > STALLED_MS and not is_writable(self.sock):
             stalled += self.outgoing.unsent_bytes
         return stalled
 
+    def sends_nothing(self) -> bool:
+        """Return whether nothing is unread and nothing came for some time, as the kernel has it."""
+        return input_state(self.sock) is InputState.EMPTY and ms_since_data(self.sock) > STALLED_MS
+
+    def waiting_bytes(self) -> int:
+        """Return what the client holds here for a request that is not complete; 0 while calls are open."""
+        return 0 if self.open or self.mailbox or self.unposted else self.charged_input
+
     def idle_ms(self, now: float) -> float | None:
         """Return the time since the last complete line or answer; None while something is open."""
         is_busy = self.open or self.mailbox or self.unposted or self.outgoing.unsent
@@ -233,22 +262,55 @@
         self.end_connection()
 
     def room(self) -> int:
-        """Return how many bytes may be read now."""
-        share = max(MIN_INPUT_BYTES, self.memory.fair_share())
-        return min(self.limits.line_bytes // 4, share - self.charged_input, self.memory.free(Owner.INPUT))
+        """Return how many bytes may be read now.
+
+        Under memory pressure that is an ordinary request, or a line whose whole length could be reserved:
+        lines that are read side by side and all lack memory for their rest would never end.
+        """
+        chunk = self.limits.line_bytes // 4
+        if self.reserved_input:
+            return min(chunk, self.reserved_input)
+        free = min(chunk, self.memory.free(Owner.INPUT))
+        if self.memory.pressure is Pressure.NONE:
+            return free
+        if self.charged_input < MIN_INPUT_BYTES:
+            return min(free, MIN_INPUT_BYTES - self.charged_input)
+        return min(chunk, self.reserve_line())
+
+    def reserve_line(self) -> int:
+        """Reserve the memory for the rest of a line, as long as it may be; return how much that is."""
+        rest = self.limits.line_bytes + 1 - len(self.input)
+        is_alone = self.partial and not self.unposted and rest > 0  # no lines before it wait
+        if is_alone and self.memory.may_reserve_line(rest) and self.memory.try_charge(Owner.INPUT, rest):
+            self.reserved_input = rest
+        return self.reserved_input
+
+    def release_reserved(self) -> None:
+        """Give back what was reserved for the rest of a line."""
+        self.memory.release(Owner.INPUT, self.reserved_input)
+        self.reserved_input = 0
+
+    def lacks_memory(self) -> bool:
+        """Return whether a line has begun whose rest is not read for want of memory."""
+        return self.partial and not self.reserved_input and self.charged_input >= MIN_INPUT_BYTES
 
     def wait_for_room(self) -> bool:
         """Wait until the memory allows to read on; return False once the connection has ended."""
         while not self.finished and self.room() <= 0:
             if has_hung_up(self.sock):
                 return False
-            gevent.sleep(HANG_UP_POLL_MS / 1000)
+            gevent.sleep(MEMORY_POLL_MS / 1000)
         return not self.finished
 
     def take_input(self, data: bytes) -> bool:
         """Store what was read; return False if the connection has to end for it."""
-        if not self.memory.try_charge(Owner.INPUT, len(data)):
-            self.log("client-closed", f"{self.client}: no memory for what it sends: {self.memory.describe()}")
+        from_reserve = min(self.reserved_input, len(data))
+        self.reserved_input -= from_reserve
+        if not self.memory.try_charge(Owner.INPUT, len(data) - from_reserve):
+            self.memory.release(Owner.INPUT, from_reserve)
+            reason = f"no memory for what it sends: {self.memory.describe()}"
+            self.log("client-closed", f"{self.client}: {reason}")
+            self.end_connection(reason)
             return False
         self.charged_input += len(data)
         was_partial = self.partial
@@ -257,7 +319,9 @@
         self.received_at = self.pauses.earliest_arrival(now)
         if self.unposted or not was_partial:
             self.last_active = now
-        self.has_sent_line = self.has_sent_line or self.unposted
+        if self.unposted:
+            self.has_sent_line = True
+            self.release_reserved()
         if self.input.is_too_long():
             self.log("bad-client", f"{self.name}: a line of more than {self.limits.line_bytes} bytes")
             return False
@@ -268,6 +332,12 @@
         self.charged_input -= size
         self.memory.release(Owner.INPUT, size)
 
+    def drop_input(self) -> None:
+        """Discard what is read and not handled; the connection has ended."""
+        self.input.clear()
+        self.release_input(self.charged_input)
+        self.release_reserved()
+
     def read_some(self) -> bytes:
         """Wait for data and read it; note since when some of it, or of what follows, may have been unread.
 
@@ -281,6 +351,7 @@
         if self.unread_since is None:
             self.unread_since = now_ms() - ms_since_data(self.sock)
         data: bytes = self.sock.recv(max(1, self.room()))
+        self.read_at = now_ms()
         return data
 
     def end_quiet(self) -> None:
@@ -291,6 +362,10 @@
 
     # --- whether the client is still there ---
 
+    def open_calls(self) -> int:
+        """Return how many calls of the connection have no answer yet."""
+        return len(self.open)
+
     def has_withdrawn(self, call: Call) -> bool:
         """Return whether nothing may be sent for the call any more; asked directly before its first byte.
 
@@ -321,8 +396,13 @@
         yield from (self.input.unread() + peek(self.sock)).split(b"\n")
 
     def must_refuse(self, call: Call) -> bool:
-        """Return whether bytes were unread for too long to know of the client; the call is answered then."""
+        """Return whether bytes were unread for too long to know of the client; the call is answered then.
+
+        As long as the client may send more, its end would have arrived behind what is unread.
+        """
         now = now_ms()
+        if now > self.read_at + QUIET_MS and not is_receive_buffer_full(self.sock):
+            return False
         since = now - ms_since_data(self.sock)
         if self.unread_since is not None and now <= self.quiet_from:
             since = min(since, self.unread_since)
@@ -378,12 +458,14 @@
             return False
         return not self.finished
 
-    def end_connection(self) -> None:
+    def end_connection(self, reason: str = "") -> None:
         """End the connection at once, ahead of the messages in the mailbox.
 
         Lines that are not yet handled are dropped, nothing more is written, and no attempt may start for an
-        open call.
+        open call. A `reason` says why this process ends it; there is none where the client has left.
         """
+        if reason and self.open and not self.finished:
+            self.log("calls-dropped", f"{self.client}: {len(self.open)} open calls: {reason}")
         self.finished = True
         self.outgoing.close()
         for call in self.ids:
@@ -394,7 +476,7 @@
     def write_failed(self, reason: str) -> None:
         """Handle a failure of the outgoing queue."""
         self.log("client-lost", f"{self.name}: {reason}")
-        self.end_connection()
+        self.end_connection(reason)
 
     def receive(self, message: Any) -> None:
         match message:
@@ -528,8 +610,7 @@
         super().finish()
         self.end_connection()
         self.sock.close()
-        self.release_input(self.charged_input)
-        self.input.clear()
+        self.drop_input()
         calls = list(self.ids)
         # each call refers back to this actor, and such a cycle would live until the next full collection
         self.ids.clear()
--- a/harrieryoke/net/outgoing.py
+++ b/harrieryoke/net/outgoing.py
@@ -9,8 +9,10 @@
 
 from ..core.actor import spawn
 from ..core.clock import now_ms
+from ..core.local_errors import is_kernel_timeout
 from ..log import Log
 from ..memory_budget import MemoryBudget, Owner
+from .unread import is_writable
 
 
 def ignore_callback(*_: object) -> None:
@@ -112,7 +114,12 @@
         """Run the writer's greenlet: each send waits for the socket's time-out at most."""
         try:
             while self.unsent:
-                self.send_first()
+                try:
+                    self.send_first()
+                except TimeoutError as error:
+                    # a delay of this process is not the client's
+                    if is_kernel_timeout(error) or not is_writable(self.sock):
+                        raise
         except OSError as error:
             return self.fail(str(error))
         self.writer = None
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -17,7 +17,7 @@
 from ..core.pauses import PauseWatch
 from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
-from ..memory_budget import CONNECTION_BYTES, Owner, Pressure
+from ..memory_budget import CONNECTION_BYTES, MIN_INPUT_BYTES, Owner, Pressure
 from .client import ClientActor, CloseIfIdle, TransferWhenIdle
 from .listening import wait_for_listener
 from .read_turns import ReadTurns
@@ -332,11 +332,16 @@
         self.client_closed.set()
 
     def relieve_memory(self) -> None:
-        """Close stalled clients, those that hold most first, then idle ones, until the memory suffices."""
+        """Close stalled clients, those that hold most first, then idle ones, until the memory suffices.
+
+        Before new calls are refused, the client gives way that holds most for a request that is not complete.
+        """
         while self.memory.pressure >= Pressure.CLOSING and self.close_stalled_client("the memory is short"):
             pass
         if self.memory.pressure >= Pressure.CLOSING:
             self.close_idle_client()
+        if self.memory.pressure >= Pressure.REFUSING:
+            self.close_largest_partial()
 
     def close_stalled_client(self, reason: str) -> bool:
         """Close the client that holds most without moving on; return whether there was one."""
@@ -345,12 +350,23 @@
         if not stalled:
             return False
         client = max(stalled, key=stalled.__getitem__)
-        self.log("client-closed", f"{client.client}: {reason}; {stalled[client]} bytes stand still")
-        client.end_connection()
-        client.release_input(client.charged_input)
-        self.forget_client(client)
+        self.close_client(client, f"{reason}; {stalled[client]} bytes stand still")
         return True
 
+    def close_largest_partial(self) -> None:
+        """Close the client that holds most for an incomplete request, if that is more than usual."""
+        waiting = {client: client.waiting_bytes() for client in self.clients if not client.finished}
+        if waiting and max(waiting.values()) > MIN_INPUT_BYTES:
+            client = max(waiting, key=waiting.__getitem__)
+            self.close_client(client, f"the memory is short; {waiting[client]} bytes wait for their rest")
+
+    def close_client(self, client: ClientActor, reason: str) -> None:
+        """Close a client that is owed no answer, and give back what it held."""
+        self.log("client-closed", f"{client.client}: {reason}")
+        client.end_connection(reason)
+        client.drop_input()
+        self.forget_client(client)
+
     def close_idle_client(self) -> None:
         """Close the client that has been idle longest, unless it has a partial line.
 
--- a/harrieryoke/net/unread.py
+++ b/harrieryoke/net/unread.py
@@ -50,6 +50,15 @@
     return InputState.UNREAD if events[0][1] == select.POLLIN else InputState.ENDED
 
 
+def is_writable(sock: socket.socket) -> bool:
+    """Return whether the kernel accepts bytes for the peer, or the connection has ended."""
+    if sock.fileno() < 0:
+        return True
+    poller = unpatched_poll()()
+    poller.register(sock.fileno(), select.POLLOUT)
+    return bool(poller.poll(0))
+
+
 def has_hung_up(sock: socket.socket) -> bool:
     """Return whether the peer closed, half-closed or reset the connection, even behind unread bytes."""
     return input_state(sock) is InputState.ENDED
