Refuse calls that wait too long to be taken, and order connections by what is taken of them

What callers saw: beside crowds usual clients' calls were answered up to seconds after their time, or refused as `too many open requests on this connection`.

Cause: a call waited before the request table without a look at its time, behind all connections that had fewer calls open when theirs came. Once the process had been slow to a client, its own delay sent that client to the end. The class: work waits without its deadline.

Why it works: the calls of a connection wait in their order, and connections go in the order of the calls that are taken of them and not answered, so what piles up before the table does not count against a client.

The two new tests of test_fairness.py have no counterpart before.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -219,6 +219,8 @@
         """Run one round: all events in order of arrival, one call of the router, its actions in order."""
         events, self.pending_events = self.pending_events, []
         events += [e for m in messages if (e := self.message_handlers[type(m)](m, now)) is not None]
+        for overdue in self.arrivals.take_overdue(now):
+            self.refuse_overdue(overdue, now)
         events += [e for a in self.arrivals.take(MAX_ARRIVALS) if (e := self.accept(a, now)) is not None]
         events += [e for t in self.table.expire_tasks(now) if (e := self.event_for(t, now)) is not None]
         while self.timers and self.timers[0][0] <= now:
@@ -290,6 +292,14 @@
         self.metrics.waiting -= 1
         return self.table.accept(arrival.call, arrival.front, now)
 
+    def refuse_overdue(self, arrival: CallReceived, now: float) -> None:
+        """Refuse a call that has waited too long to be taken."""
+        call = arrival.call
+        self.metrics.waiting -= 1
+        self.log("refused", f"{call.request_id}: not taken; received {now - call.received_at:.0f} ms ago")
+        self.table.notify_observers(call, "refused")
+        arrival.front.refused(call, self.settings.max_retry_after or None)
+
     def on_call_withdrawn(self, message: CallWithdrawn, now: float) -> i.Event | None:
         if self.arrivals.withdraw(message.call):
             self.metrics.waiting -= 1
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -49,6 +49,10 @@
 class CallOrigin(Protocol):
     """The connection that a call came by."""
 
+    def open_calls(self) -> int:
+        """Return how many calls of the connection have no answer yet."""
+        ...
+
     def has_withdrawn(self, call: Call) -> bool:
         """Return whether the client has left or given the call up, also where that is not handled yet."""
         ...
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from harrieryoke.core.arrivals import ArrivalQueue
+from harrieryoke.core.arrivals import MAX_WAIT_SHARE, ArrivalQueue
 from harrieryoke.core.records import Call, CallReceived
 from harrieryoke.net.read_turns import BURST_LINES, LINES_PER_MS, ReadRate, ReadTurns
 
@@ -31,7 +31,58 @@
     assert taken == sorted(staying, key=lambda each: each.call.open_before)[:limit]
     assert len(queue) == len(staying) - len(taken)
     assert all(queue.withdraw(each.call) is (each not in taken) for each in staying)
-    assert not list(queue.take(limit)) and not queue.heap
+    assert not list(queue.take(limit)) and not queue.turns
+
+
+class Origin:
+    """A connection with so many open calls."""
+
+    def __init__(self) -> None:
+        self.open = 0
+
+    def open_calls(self) -> int:
+        return self.open
+
+    def has_withdrawn(self, call: Call) -> bool:
+        return False
+
+
+def call_of(origin: Origin, received_at: float = 0.0) -> CallReceived:
+    origin.open += 1
+    call = Call("0" * 16, 0, "f" * 16, received_at + 1000.0, received_at=received_at, origin=origin)
+    front: object = Core()
+    return CallReceived(call, front)  # type: ignore[arg-type]
+
+
+# Guards against a client that loses its place since its calls piled up while the process was slow.
+@given(st.integers(1, 31), st.integers(1, 40))
+def test_client_whose_calls_wait_goes_before_one_whose_calls_are_taken(waiting: int, greedy: int) -> None:
+    queue, steady, loud = ArrivalQueue(), Origin(), Origin()
+    for _ in range(greedy + waiting):
+        queue.add(call_of(loud))
+    assert len(list(queue.take(greedy))) == greedy
+    for _ in range(waiting):
+        queue.add(call_of(steady))
+    first = [arrival.call.origin for arrival in queue.take(min(waiting, greedy) + 1)]
+    assert first.count(steady) >= min(waiting, greedy)
+
+
+# Guards against calls that wait to be taken until their time is over, with or without withdrawn ones.
+@given(st.lists(st.tuples(st.floats(0, 5000), st.booleans()), max_size=200), st.floats(0, 6000))
+def test_calls_that_wait_too_long_leave_the_queue(calls: list[tuple[float, bool]], now: float) -> None:
+    queue, staying = ArrivalQueue(), list[CallReceived]()
+    for received_at, withdrawn in calls:
+        queue.add(each := call_of(Origin(), received_at))
+        if withdrawn:
+            assert queue.withdraw(each.call)
+        else:
+            staying.append(each)
+    overdue = list(queue.take_overdue(now))
+    due = [a for a in staying if a.call.received_at + MAX_WAIT_SHARE * 1000.0 <= now]
+    assert sorted(map(id, overdue)) == sorted(map(id, due))
+    assert queue.next_give_up() > now
+    assert {id(a) for a in queue.take(1000)} == {id(a) for a in staying} - {id(a) for a in due}
+    assert not queue.turns and not queue.by_origin and not queue.serials
 
 
 # Guards against lines that start no work and are taken without a bound: errors, probes, calls given up.
