Keep accepted connections that find no memory, and refuse calls whose line can't be read for want of it

What callers saw: beside 1,100 slow clients at 64 MB connections that had been accepted were reset (7 of 132 calls of the usual client, `no memory for another connection`), and clients with long requests got neither an answer nor a close for over 3 s (40 connections beside 330 with unread answers at 192 MB).

Cause: an accepted connection without memory for its actor was closed, though its request may have been written whole; a line whose rest can't be read waited without a time, and its connection was not closed as bytes of it were unread. The class: what was taken is dropped or kept, in place of being answered.

Why it works: such a connection waits, unread and counted, until there is memory. A line that had none for half a second is refused by the id at its start and skipped to its end, so that nothing is held for it.

--- a/harrieryoke/core/arrivals.py
+++ b/harrieryoke/core/arrivals.py
@@ -11,7 +11,9 @@
 
 Origin = CallOrigin | int  # a connection, or the serial number of a call without one
 
-MAX_WAIT_SHARE = 0.45  # of a call's time, after which it is refused: later a refusal would come too late
+MAX_WAIT_SHARE = (
+    0.45  # of the time that a call has left, after which it is refused: later a refusal would come too late
+)
 MAX_GONE = 64  # entries of calls that are gone, beside as many as wait, before they are cleared
 
 
@@ -34,11 +36,11 @@
     def __len__(self) -> int:
         return len(self.arrivals)
 
-    def add(self, arrival: CallReceived) -> None:
-        """Add a call."""
+    def add(self, arrival: CallReceived, now: float) -> None:
+        """Add a call at `now`, in milliseconds."""
         call, serial = arrival.call, next(self.serial)
         self.arrivals[serial], self.serials[call] = arrival, serial
-        give_up_at = call.received_at + MAX_WAIT_SHARE * (call.deadline - call.received_at)
+        give_up_at = now + MAX_WAIT_SHARE * (call.deadline - now)
         heappush(self.give_up_times, (give_up_at, serial))
         origin: Origin = serial if call.origin is None else call.origin
         if origin in self.by_origin:
--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -284,7 +284,7 @@
     # --- messages into events ---
 
     def on_call_received(self, message: CallReceived, now: float) -> i.Event | None:
-        self.arrivals.add(message)
+        self.arrivals.add(message, now)
         return None
 
     def accept(self, arrival: CallReceived, now: float) -> i.Event | None:
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -8,9 +8,9 @@
 WORKING_MB = 3  # that the process grows by at first use, whoever uses it
 MIN_BUDGET_BYTES = 2**20  # below it nobody could be served
 MARGIN_SHARE = 0.04  # of the memory, for what grows between two measurements
-SOCKET_BUFFERS_SHARE = 1 / 16  # of the budget, for one direction of the usual number of clients
-MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 32 * 1024
-BACKLOG_ENTRY_BYTES = 64 * 1024  # of the budget, for each connection that may wait in the backlog
+SOCKET_BUFFERS_SHARE = 1 / 24  # of the budget, for one direction of the usual number of clients
+MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 16 * 1024
+BACKLOG_ENTRY_BYTES = 128 * 1024  # of the budget, for each connection that may wait in the backlog
 MIN_BACKLOG, MAX_BACKLOG = 64, 512
 
 
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -49,6 +50,8 @@
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while the mailbox is full
 MEMORY_POLL_MS = 60.0  # between checks for memory to read on
+MAX_MEMORY_WAIT_MS = 500.0  # for memory to read a line, after which its call is refused
+CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 MAX_UNSENT_MESSAGES = 256
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
@@ -65,6 +68,13 @@
     received_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LineRefused:
+    """There is no memory to read the call with this id to its end."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerReady:
     """The core has answered the call."""
@@ -137,6 +147,7 @@
         self.input = LineBuffer(limits.line_bytes)
         self.charged_input = 0  # bytes read and not handled
         self.reserved_input = 0  # charged for the rest of a line
+        self.is_skipping = False  # up to the end of a line that was refused
         self.open_bytes = 0  # of the open calls, as charged
         self.received_at = 0.0  # earliest time at which they may have been received
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
@@ -268,6 +279,8 @@
         lines that are read side by side and all lack memory for their rest would never end.
         """
         chunk = self.limits.line_bytes // 4
+        if self.is_skipping:
+            return chunk
         if self.reserved_input:
             return min(chunk, self.reserved_input)
         free = min(chunk, self.memory.free(Owner.INPUT))
@@ -296,14 +309,40 @@
 
     def wait_for_room(self) -> bool:
         """Wait until the memory allows to read on; return False once the connection has ended."""
+        waiting_since = now_ms()
         while not self.finished and self.room() <= 0:
             if has_hung_up(self.sock):
                 return False
+            if now_ms() - waiting_since > MAX_MEMORY_WAIT_MS and self.refuse_partial():
+                return True
             gevent.sleep(MEMORY_POLL_MS / 1000)
         return not self.finished
 
+    def refuse_partial(self) -> bool:
+        """Refuse the call whose line can't be read for want of memory, and skip the rest of that line.
+
+        Returns False if it is not known which call it is.
+        """
+        if not self.lacks_memory() or self.unposted:
+            return False
+        start = CALL_START.match(self.input.unread())
+        if start is None or not self.try_send(LineRefused(int(start[1]))):
+            return False
+        self.release_input(len(self.input))
+        self.input.clear()
+        self.is_skipping = True
+        return True
+
+    def skip_line(self, data: bytes) -> bytes:
+        """Return what follows the line that is skipped."""
+        _, end, rest = data.partition(b"\n")
+        self.is_skipping = not end
+        return rest
+
     def take_input(self, data: bytes) -> bool:
         """Store what was read; return False if the connection has to end for it."""
+        if self.is_skipping and not (data := self.skip_line(data)):
+            return True
         from_reserve = min(self.reserved_input, len(data))
         self.reserved_input -= from_reserve
         if not self.memory.try_charge(Owner.INPUT, len(data) - from_reserve):
@@ -483,6 +522,9 @@
             case LineReceived(data, received_at):
                 self.release_input(len(data) + 1)
                 self.handle_line(data, received_at) if data.strip() else self.read_rate.count_line()
+            case LineRefused(id):
+                error = BadRequestError(REFUSED, "no memory to read a request of this size")
+                self.reject_line(None if id in self.open else id, "", error)
             case AnswerReady(call, reply):
                 self.write_answer(call, reply)
             case CallUnsafe(call):
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -84,8 +85,9 @@
 
 def limit_buffers(listening: socket.socket, size: int) -> None:
     """Give the connections accepted here socket buffers of so many bytes; the kernel doubles them."""
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        if listening.getsockopt(socket.SOL_SOCKET, option) >= size:  # else it was given a smaller one
+            listening.setsockopt(socket.SOL_SOCKET, option, size)
 
 
 class PlatformFront(Actor):
@@ -100,6 +102,7 @@
         self.memory = core.memory
         self.memory.on_change = self.memory_pressure_changed
         self.turns = ReadTurns()
+        self.waiting: deque[ConnectionAccepted] = deque()  # for memory
         self.stopping, self.all_closed = False, Event()
         self.client_closed = Event()  # set when a client connection has closed
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
@@ -165,7 +168,7 @@
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
-        return [client.sock for client in self.clients]
+        return [client.sock for client in self.clients] + [accepted.sock for accepted in self.waiting]
 
     @property
     def hard_limit(self) -> int:
@@ -188,7 +191,7 @@
 
     def is_full(self) -> bool:
         """Return whether clients hold all permitted connections, including those in the mailbox."""
-        accepted = sum(isinstance(m, ConnectionAccepted) for m in self.mailbox)
+        accepted = sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + len(self.waiting)
         no_memory = self.memory.free(Owner.CONNECTIONS) < (accepted + 1) * CONNECTION_BYTES
         return no_memory or len(self.clients) + accepted >= self.hard_limit
 
@@ -205,9 +208,10 @@
     def run(self) -> None:
         swept = now_ms()
         while not self.finished:
-            is_short = self.memory.pressure >= Pressure.CLOSING
+            is_short = self.waiting or self.memory.pressure >= Pressure.CLOSING
             self.wait_for_message(RELIEF_MS if is_short else self.limits.sweep_ms)
             self.process_mailbox()
+            self.admit_waiting()
             if self.memory.pressure >= Pressure.CLOSING:
                 self.relieve_memory()
             now = now_ms()
@@ -257,7 +261,7 @@
                 self.finished = acceptor.fileno() >= 0
             case StopListening():
                 self.stop_listening()
-        if self.stopping and not (self.clients or self.mailbox or self.running_acceptors):
+        if self.stopping and not (self.clients or self.waiting or self.mailbox or self.running_acceptors):
             self.all_closed.set()
 
     def stop_listening(self) -> None:
@@ -300,15 +304,14 @@
             self.close_idle_client()
         if len(self.clients) >= self.hard_limit or self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
             self.close_stalled_client("a new connection needs its place")
-        if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
-            self.log("too-many-clients", f"no memory for another connection: {self.memory.describe()}")
-            sock.close()
-            return
         if len(self.clients) >= self.hard_limit:
-            self.memory.release(Owner.CONNECTIONS, CONNECTION_BYTES)
             self.log("too-many-clients", f"{len(self.clients)} connections are open")
             sock.close()
             return
+        if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
+            self.log("connection-waits", f"{name}: {self.memory.describe()}")
+            self.waiting.append(ConnectionAccepted(sock, name, served_before))
+            return
         client = ClientActor(
             sock,
             name,
@@ -325,6 +328,14 @@
         if self.stopping:
             self.close_when_idle(client, "the process stops")
 
+    def admit_waiting(self) -> None:
+        """Serve the accepted connections that waited for memory, as far as there is some now."""
+        for _ in range(len(self.waiting)):
+            if self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
+                return
+            accepted = self.waiting.popleft()
+            self.add_client(accepted.sock, accepted.name, accepted.served_before)
+
     def forget_client(self, client: ClientActor) -> None:
         """Give back the place and the memory of a client that has ended."""
         if self.clients.pop(client, None) is not None:
