--- a/harrieryoke/core/allocator.py
+++ b/harrieryoke/core/allocator.py
@@ -13,7 +13,7 @@
 
 # parameters of mallopt(3)
 M_TRIM_THRESHOLD, M_MMAP_THRESHOLD, M_ARENA_MAX = -1, -3, -8
-MAPPED_FROM_BYTES = 16 * 1024  # a larger block has pages of its own, which return with it
+MAPPED_FROM_BYTES = 20 * 1024  # a larger block has pages of its own, which return with it; a read is smaller
 TRIM_FROM_BYTES = 128 * 1024  # free at the end of the heap
 
 
--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -8,7 +8,7 @@
 WORKING_MB = 3  # that the process grows by at first use, whoever uses it
 MIN_BUDGET_BYTES = 2**20  # below it nobody could be served
 MARGIN_SHARE = 0.04  # of the memory, for what grows between two measurements
-SOCKET_BUFFERS_SHARE = 1 / 24  # of the budget, for one direction of the usual number of clients
+RECEIVE_BUFFERS_SHARE, SEND_BUFFERS_SHARE = 1 / 12, 1 / 24  # of the budget, for the usual number of clients
 MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 16 * 1024
 BACKLOG_ENTRY_BYTES = 128 * 1024  # of the budget, for each connection that may wait in the backlog
 MIN_BACKLOG, MAX_BACKLOG = 64, 512
@@ -93,10 +93,18 @@
         fixed = process_bytes + WORKING_MB * 2**20 + margin
         return int(max(self.memory_mb * 2**20 - fixed, MIN_BUDGET_BYTES))
 
-    def socket_buffer_bytes(self) -> int:
-        """Return the size of a client's socket buffer in one direction; the kernel takes up to twice that."""
-        share = int(self.budget_bytes() * SOCKET_BUFFERS_SHARE / max(1, self.sockets // 3))
-        return min(max(share, MIN_SOCKET_BUFFER_BYTES), MAX_SOCKET_BUFFER_BYTES)
+    def receive_buffer_bytes(self) -> int:
+        """Return the size of a client's receive buffer; the kernel takes up to twice that."""
+        return self.socket_buffer_bytes(RECEIVE_BUFFERS_SHARE)
+
+    def send_buffer_bytes(self) -> int:
+        """Return the size of a client's send buffer; the kernel takes up to twice that."""
+        return self.socket_buffer_bytes(SEND_BUFFERS_SHARE)
+
+    def socket_buffer_bytes(self, share: float) -> int:
+        """Return the size of one buffer if the usual number of clients may have that share of the budget."""
+        size = int(self.budget_bytes() * share / max(1, self.sockets // 3))
+        return min(max(size, MIN_SOCKET_BUFFER_BYTES), MAX_SOCKET_BUFFER_BYTES)
 
     def backlog(self) -> int:
         """Return how many connections the kernel accepts ahead of the process."""
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -470,8 +470,12 @@
         while self.unposted and not self.finished:
             if self.read_rate.is_high(now_ms()):
                 with self.turns.turn():
+                    self.read_rate.take_spent()
                     is_open = self.post_waiting_lines(TURN_LINES, TURN_LINES)
-                gevent.sleep(0)
+                    gevent.sleep(0)
+                    if self.turns.waiting:
+                        # others get as much of the processor as those that take turns
+                        gevent.sleep(self.read_rate.take_spent() / 1000)
             else:
                 is_open = self.post_waiting_lines(max_waiting, max_waiting)
             if not is_open:
@@ -521,7 +525,9 @@
         match message:
             case LineReceived(data, received_at):
                 self.release_input(len(data) + 1)
+                started_at = now_ms()
                 self.handle_line(data, received_at) if data.strip() else self.read_rate.count_line()
+                self.read_rate.charge(now_ms() - started_at)
             case LineRefused(id):
                 error = BadRequestError(REFUSED, "no memory to read a request of this size")
                 self.reject_line(None if id in self.open else id, "", error)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -83,9 +83,13 @@
     return ConnectionAccepted(sock, f"{peer[0]}:{peer[1]}")
 
 
-def limit_buffers(listening: socket.socket, size: int) -> None:
-    """Give the connections accepted here socket buffers of so many bytes; the kernel doubles them."""
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+def limit_buffers(listening: socket.socket, limits: Limits) -> None:
+    """Give the connections that are accepted here socket buffers of the sizes that the memory allows."""
+    sizes = {
+        socket.SO_RCVBUF: limits.receive_buffer_bytes(),
+        socket.SO_SNDBUF: limits.send_buffer_bytes(),
+    }
+    for option, size in sizes.items():
         if listening.getsockopt(socket.SOL_SOCKET, option) >= size:  # else it was given a smaller one
             listening.setsockopt(socket.SOL_SOCKET, option, size)
 
@@ -117,7 +121,7 @@
         """
         if listening is None:
             listening = wait_for_listener(self.address, self.limits.backlog(), self.limits, self.log, shared)
-        limit_buffers(listening, self.limits.socket_buffer_bytes())
+        limit_buffers(listening, self.limits)
         self.listening = listening
         self.pauses.restart(now_ms())
         super().start()
--- a/harrieryoke/net/read_turns.py
+++ b/harrieryoke/net/read_turns.py
@@ -11,18 +11,33 @@
 BURST_LINES = 32.0  # that a client may send ahead of its rate: as many as it may have open
 LINES_PER_MS = 0.002
 TURN_LINES = 4  # that are handled in one turn before others go on
+USUAL_LINE_MS = 0.25  # of processor time for a line; what it takes beyond counts as further lines
+FURTHER_LINE_MS = 0.1
 
 
 class ReadRate:
     """The recent rate of a client's lines that start no work: a token bucket.
 
-    Such lines are errors, `probe` and `giveUp`. Those that start work are bounded by the open calls.
+    Such lines are errors, `probe` and `giveUp`. Those that start work are bounded by the open calls and count
+    for the time that they take beyond a usual one.
     """
 
-    __slots__ = ("lines", "updated_at")
+    __slots__ = ("lines", "spent_ms", "updated_at")
 
     def __init__(self) -> None:
         self.lines, self.updated_at = BURST_LINES, 0.0
+        self.spent_ms = 0.0  # processor time of the lines since it was taken last
+
+    def charge(self, spent_ms: float) -> None:
+        """Count the processor time of a line."""
+        self.spent_ms += spent_ms
+        if (further := spent_ms - USUAL_LINE_MS) > 0:
+            self.lines = max(-BURST_LINES, self.lines - further / FURTHER_LINE_MS)
+
+    def take_spent(self) -> float:
+        """Return the processor time since the last call, in milliseconds."""
+        spent, self.spent_ms = self.spent_ms, 0.0
+        return spent
 
     def count_line(self) -> None:
         """Count a line."""
