Size the receive buffers of links to model hosts, and measure them once a second

A model host may send up to the kernel's own limit (32 MB on this machine) into each link that is not read while clients don't read their answers, and the kernel counts that for the process.

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -10,6 +10,8 @@
 MARGIN_SHARE = 0.04  # of the memory, for what grows between two measurements
 RECEIVE_BUFFERS_SHARE, SEND_BUFFERS_SHARE = 1 / 12, 1 / 24  # of the budget, for the usual number of clients
 MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 16 * 1024
+HOST_BUFFER_SHARE = 1 / 64  # of the budget, for one link to a model host
+MIN_HOST_BUFFER_BYTES = 32 * 1024
 BACKLOG_ENTRY_BYTES = 128 * 1024  # of the budget, for each connection that may wait in the backlog
 MIN_BACKLOG, MAX_BACKLOG = 64, 512
 
@@ -101,6 +103,11 @@
         """Return the size of a client's send buffer; the kernel takes up to twice that."""
         return self.socket_buffer_bytes(SEND_BUFFERS_SHARE)
 
+    def host_buffer_bytes(self) -> int:
+        """Return the size of the receive buffer of a link to a model host; the kernel may double it."""
+        size = int(self.budget_bytes() * HOST_BUFFER_SHARE)
+        return min(max(size, MIN_HOST_BUFFER_BYTES), self.answer_bytes)
+
     def socket_buffer_bytes(self, share: float) -> int:
         """Return the size of one buffer if the usual number of clients may have that share of the budget."""
         size = int(self.budget_bytes() * share / max(1, self.sockets // 3))
--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -410,6 +410,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # detects a host that vanished: data that it does not acknowledge within this time ends the link
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(self.limits.vanished_ms))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.limits.host_buffer_bytes())
         except OSError:
             sock.close()
             raise
--- a/harrieryoke/net/hostlist.py
+++ b/harrieryoke/net/hostlist.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from time import monotonic_ns
 
+from gevent import socket
 from gevent.event import AsyncResult
 
 from .. import interface as i
@@ -158,6 +159,10 @@
         if as_of is not None:
             self.confirm_list(as_of - PROPAGATION_DELAY_MS)
 
+    def link_sockets(self) -> list[socket.socket]:
+        """Return the sockets of all links to model hosts."""
+        return [link.sock for _, host in self.hosts.values() for link in host.links]
+
     def bans(self) -> list[str]:
         """Return the ids of the banned hosts."""
         return sorted(self.banned)
--- a/harrieryoke/net/memory_monitor.py
+++ b/harrieryoke/net/memory_monitor.py
@@ -34,20 +34,24 @@
 class MemoryMonitor:
     """Keeps the measured sizes of the budget current, in a greenlet of its own.
 
-    `sockets` returns those of the clients. The resident memory is read by the budget itself too, whenever
-    enough was charged; here it is read for what grows without a charge.
+    `sockets` returns those of the clients, `links` those to model hosts, which are measured once a second.
+    The resident memory is read by the budget itself too, whenever enough was charged; here it is read for
+    what grows without a charge.
     """
 
     def __init__(
         self,
         memory: MemoryBudget,
         sockets: Callable[[], Collection[socket.socket]],
+        links: Callable[[], Collection[socket.socket]],
         allocator: Allocator,
         log: Log,
     ) -> None:
-        self.memory, self.sockets, self.allocator, self.log = memory, sockets, allocator, log
+        self.memory, self.sockets, self.links = memory, sockets, links
+        self.allocator, self.log = allocator, log
         self.resident = ResidentMemory()
         self.reported_at = self.reclaimed_at = now_ms()
+        self.link_bytes = 0  # in the buffers of the links, as measured last
 
     def start(self, base: int) -> None:
         """Measure from now on; `base` bytes are the bare process."""
@@ -64,7 +68,7 @@
     def measure(self) -> None:
         """Measure once, and act on a shortage."""
         clients = self.sockets()
-        self.memory.sizes.kernel = socket_buffer_bytes(clients)
+        self.memory.sizes.kernel = socket_buffer_bytes(clients) + self.link_bytes
         self.memory.sizes.connections = len(clients)
         self.memory.measure()
         now = now_ms()
@@ -73,6 +77,7 @@
             self.reclaimed_at = now_ms()
         if now - self.reported_at >= REPORT_MS:
             self.reported_at = now
+            self.link_bytes = socket_buffer_bytes(self.links())
             self.memory.sizes.descriptors = open_descriptors()
             if self.memory.pressure is not Pressure.NONE:
                 level = self.memory.pressure.name.lower()
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -66,7 +66,9 @@
         )
         self.maker = CallMaker(settings, self.limits)
         self.front = PlatformFront(config.listen, self.maker, self.core, self.limits, log)
-        self.memory_monitor = MemoryMonitor(self.core.memory, self.front.client_sockets, self.allocator, log)
+        self.memory_monitor = MemoryMonitor(
+            self.core.memory, self.front.client_sockets, self.hosts.link_sockets, self.allocator, log
+        )
         self.parts = (
             Parts()
             if config.operator is None
