--- a/tests/clients.py
+++ b/tests/clients.py
@@ -4,7 +4,8 @@
 
 import base64
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import gevent
@@ -140,6 +141,16 @@
         assert not self.log.totals.get("greenlet-died")
 
 
+@contextmanager
+def connected(**limits: Any) -> Iterator[Connection]:
+    """Yield a connection, and close it at the end."""
+    connection = Connection(**limits)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
 class StubListener:
     """Replaces the listening socket and the acceptor's descriptor; `accept` is the test's."""
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -5,8 +5,6 @@
 import itertools
 import json
 import struct
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any
 
 import gevent
@@ -16,16 +14,7 @@
 from harrieryoke.net.client import MAX_UNREAD_MS, CloseIfIdle, TransferWhenIdle
 from harrieryoke.net.jsonrpc import REFUSED
 
-from .clients import BODY, Connection, line, until
-
-
-@contextmanager
-def connected(**limits: Any) -> Iterator[Connection]:
-    connection = Connection(**limits)
-    try:
-        yield connection
-    finally:
-        connection.close()
+from .clients import BODY, connected, line, until
 
 
 def leave(sock: socket.socket, how: str) -> None:
--- /dev/null
+++ b/tests/test_memory_measured.py
@@ -0,0 +1,282 @@
+"""What is measured of the process's memory, what of it a client, a link and the backlog may take, and what is
+given back (docs/incidents/58)."""
+
+from __future__ import annotations
+
+import gc
+import json
+import re
+import subprocess
+import sys
+import weakref
+from contextlib import closing
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import socket
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harrieryoke.core.allocator import Allocator
+from harrieryoke.core.clock import now_ms
+from harrieryoke.core.process_memory import socket_buffer_bytes
+from harrieryoke.limits import Limits
+from harrieryoke.log import Log
+from harrieryoke.memory_budget import (
+    MEASURE_EACH_BYTES,
+    MemoryBudget,
+    Owner,
+    Pressure,
+)
+from harrieryoke.net.client import STALLED_MS
+from harrieryoke.net.jsonrpc import REFUSED
+from harrieryoke.net.memory_monitor import REPORT_MS, MemoryMonitor
+from harrieryoke.net.platform import limit_buffers
+
+from .clients import NullLog, connected, line, until
+from .scenario import Scene
+from .test_host_crossings import SteppedHost
+
+MEMORY_MB = st.integers(32, 1024)
+START = b'{"jsonrpc":"2.0","id":7,"method":"weight-read","params":{"blob":"'
+
+
+def fill(budget: MemoryBudget, size: int) -> None:
+    """Have the process look as if it took so many bytes of the budget."""
+    budget.measure_with(lambda: size, 0)
+
+
+# Guards against a process that grows beyond its account, and nothing gives way.
+@given(st.integers(0, 2_000_000), st.integers(0, 2_000_000), st.integers(0, 900_000))
+def test_the_larger_of_charges_and_measured_size_is_in_use(resident: int, kernel: int, charged: int) -> None:
+    budget = MemoryBudget(1_000_000)
+    size = 0
+    budget.measure_with(lambda: size, 50_000)
+    assert not charged or budget.try_charge(Owner.ANSWERS, charged)
+    size, budget.sizes.kernel = resident, kernel
+    budget.measure()
+    assert budget.held() == max(charged, resident + kernel - 50_000)
+    assert budget.free(Owner.ANSWERS) == 1_000_000 - budget.held()
+    assert not budget.try_charge(Owner.ANSWERS, budget.free(Owner.ANSWERS) + 1)
+    share = budget.held() / budget.common
+    assert (budget.pressure is Pressure.NONE) <= (share < 0.5)
+    assert (budget.pressure is Pressure.REFUSING) >= (share >= 0.9)
+
+
+# Guards against growth between two measurements that only the clock would end.
+@given(st.lists(st.integers(1, 40_000), max_size=60))
+def test_the_resident_size_is_read_again_for_what_is_charged(sizes: list[int]) -> None:
+    readings, budget = list[int](), MemoryBudget(100_000_000)
+
+    def read_resident() -> int:
+        readings.append(budget.used_total)
+        return 0
+
+    budget.measure_with(read_resident, 0)
+    for size in sizes:
+        assert budget.try_charge(Owner.INPUT, size)
+        assert budget.used_total - readings[-1] < MEASURE_EACH_BYTES
+
+
+# Guards against measured sizes that miss what the kernel holds, or a shortage that the log does not tell.
+def test_monitor_counts_socket_buffers_and_logs_a_shortage() -> None:
+    with closing(socket.create_server(("127.0.0.1", 0))) as listening:
+        sender = socket.create_connection(listening.getsockname())
+        receiver, _ = listening.accept()
+    with closing(sender), closing(receiver):
+        log, memory = NullLog(), MemoryBudget(100_000)
+        monitor = MemoryMonitor(memory, lambda: [receiver], lambda: [], Allocator(), log)
+        memory.measure_with(lambda: 0, 0)
+        monitor.measure()
+        assert memory.sizes.kernel == 0 and not log.totals
+        sender.sendall(b"x" * 80_000)
+        until(lambda: socket_buffer_bytes([receiver]) >= 80_000, "received")
+        monitor.reported_at = now_ms() - REPORT_MS
+        monitor.measure()
+        assert memory.sizes.kernel >= 80_000 and memory.sizes.connections == 1
+        assert memory.pressure >= Pressure.CLOSING and log.totals == {"memory-state": 1}
+
+
+# Guards against buffers whose sizes do not follow from the memory, at any number of descriptors.
+@given(MEMORY_MB, st.integers(64, 4096))
+def test_buffers_and_backlog_fit_the_memory(memory_mb: int, sockets: int) -> None:
+    limits = Limits(memory_mb=memory_mb, sockets=sockets)
+    sizes = (limits.receive_buffer_bytes(), limits.send_buffer_bytes())
+    assert all(4096 <= size <= 16384 for size in sizes)
+    assert all(size == 4096 or size * (sockets // 3) <= limits.budget_bytes() / 12 for size in sizes)
+    assert 64 <= limits.backlog() <= 512
+    assert limits.backlog() * 128 * 1024 <= max(limits.budget_bytes(), 64 * 128 * 1024)
+    assert 32 * 1024 <= limits.host_buffer_bytes() <= limits.answer_bytes
+
+
+# Guards against accepted connections whose buffers grow as the kernel likes.
+def test_accepted_connections_have_buffers_of_the_given_sizes() -> None:
+    limits = Limits(memory_mb=64)
+    with closing(socket.create_server(("127.0.0.1", 0))) as listening:
+        limit_buffers(listening, limits)
+        client = socket.create_connection(listening.getsockname())
+        accepted, _ = listening.accept()
+    with closing(client), closing(accepted):
+        receive = accepted.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        send = accepted.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    assert (receive, send) == (2 * limits.receive_buffer_bytes(), 2 * limits.send_buffer_bytes())
+
+
+# Guards against a model host whose unread answers fill the kernel's memory.
+def test_links_to_model_hosts_have_buffers_of_the_given_size() -> None:
+    limits = Limits(memory_mb=64, write_ms=20000.0, silent_ms=20000.0)
+    host = SteppedHost(limits)
+    link = host.dial()
+    assert link is not None
+    size = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    host.close_link(link, "the test's end")
+    assert size == 2 * limits.host_buffer_bytes()
+
+
+# Guards against a budget that leaves nothing for the connections that the kernel accepts ahead.
+def test_budget_keeps_the_memory_of_the_backlog_back(tmp_path: Path) -> None:
+    scene = Scene(tmp_path)
+    try:
+        found = re.search(r"memory-budget (\d+) kB beside (\d+) kB resident", scene.log())
+        assert found is not None
+        limits = Limits()
+        allowed = limits.budget_bytes(int(found[2]) * 1024) - limits.backlog_bytes()
+        assert limits.backlog_bytes() >= limits.backlog() * limits.receive_buffer_bytes()
+        assert 0 < int(found[1]) * 1024 <= allowed
+    finally:
+        scene.end()
+
+
+CLIENTS, PIECES, PIECE_BYTES, KEPT_BYTES = 800, 20, 2000, 600
+TORN_HEAP = f"""
+from harrieryoke.core.allocator import Allocator
+from harrieryoke.core.process_memory import resident_bytes
+allocator = Allocator()
+allocator.configure()
+before, buffers, kept = resident_bytes(), [bytearray() for _ in range({CLIENTS})], []
+for _ in range({PIECES}):
+    for buffer in buffers:
+        buffer += b"x" * {PIECE_BYTES}
+        kept.append(bytes({KEPT_BYTES}))
+full = resident_bytes()
+del buffers, buffer
+freed = resident_bytes()
+allocator.trim()
+print(full - before, freed - before, resident_bytes() - before)
+"""
+
+
+# Guards against memory of freed lines that stays with the process, as smaller blocks lie between them.
+def test_freed_lines_are_given_back() -> None:
+    play = subprocess.run([sys.executable, "-c", TORN_HEAP], capture_output=True, check=True, text=True)
+    full, freed, trimmed = map(int, play.stdout.split())
+    lines, kept = CLIENTS * PIECES * PIECE_BYTES, CLIENTS * PIECES * KEPT_BYTES
+    assert full >= lines + kept
+    assert full - freed >= lines / 2
+    assert trimmed <= 1.5 * kept
+
+
+# Guards against an ended connection whose memory lives until the next full collection.
+def test_ended_connection_is_freed_without_a_collection() -> None:
+    gc.collect()
+    gc.disable()
+    try:
+        with connected() as c:
+            c.send_calls(1, 2)
+            c.send(START + b"A" * 40_000)
+            until(lambda: len(c.actor.input) > 40_000, "a partial line")
+            ended = weakref.ref(c.actor)
+            c.sock.close()
+            assert c.gone.wait(10)
+            assert not c.actor.input and not c.actor.open and not c.actor.ids
+            assert c.core.memory.used_total == 0
+            c.core.calls.clear()
+            del c.actor
+            until(lambda: ended() is None, "freed")
+    finally:
+        gc.enable()
+
+
+# Guards against a client that counts as stalled for what this process has not read.
+@pytest.mark.parametrize("sends", [b"", b"B"], ids=["silent", "with unread bytes"])
+def test_client_with_a_partial_line_has_stalled_only_if_nothing_comes(sends: bytes) -> None:
+    with connected() as c:
+        c.send(START)
+        until(lambda: c.actor.partial, "a partial line")
+        assert c.actor.stalled_bytes(now_ms()) == 0
+        if sends:
+            c.actor.reader.kill()
+            c.send(sends)
+        gevent.sleep(2 * STALLED_MS / 1000)
+        assert c.actor.stalled_bytes(now_ms()) == (0 if sends else len(START))
+        if sends:
+            c.actor.start_reading()
+
+
+# Guards against a connection that gives way for memory while it is owed an answer.
+def test_client_that_is_owed_an_answer_has_not_stalled() -> None:
+    with connected() as c:
+        c.send_calls(1)
+        c.send(START)
+        until(lambda: c.actor.partial, "a partial line")
+        gevent.sleep(2 * STALLED_MS / 1000)
+        assert c.actor.stalled_bytes(now_ms()) == 0 and c.actor.waiting_bytes() == 0
+
+
+# Guards against a close with open calls that the log omits, or tells nothing of.
+def test_each_close_with_open_calls_is_logged(capsys: pytest.CaptureFixture[str]) -> None:
+    log = Log("n0", lines_per_s=1)
+    for n in range(50):
+        log("client-closed", f"{n}")
+        log("calls-dropped", f"{n}")
+    lines = [text.split()[2] for text in capsys.readouterr().err.splitlines()]
+    assert lines.count("calls-dropped") == 50 and lines.count("client-closed") < 50
+    with connected() as c:
+        c.send_calls(1)
+        c.actor.end_connection("the memory is short")
+        assert c.gone.wait(10) and c.log.totals == {"calls-dropped": 1}
+
+
+# Guards against long lines that are read side by side under pressure until none of them can end.
+def test_long_line_is_read_under_pressure_once_its_rest_is_reserved() -> None:
+    with connected() as c:
+        budget = c.core.memory = c.actor.memory = c.actor.outgoing.memory = MemoryBudget(1_000_000)
+        fill(budget, int(budget.common * 0.55))
+        assert budget.pressure is Pressure.READING
+        c.send(START + b"A" * 20_000)
+        until(lambda: len(c.actor.input) > 20_000, "a long line")
+        assert budget.used[Owner.INPUT] == c.actor.charged_input + c.actor.reserved_input
+        assert c.actor.charged_input + c.actor.reserved_input == c.actor.limits.line_bytes + 1
+        c.send(b'"}}\n')
+        until(lambda: not c.actor.input, "handled")
+        assert budget.used[Owner.INPUT] == 0
+
+
+# Guards against a long request that gets no answer, as its line finds no memory.
+def test_long_line_without_memory_is_refused_by_its_id_and_skipped() -> None:
+    with connected() as c:
+        budget = c.core.memory = c.actor.memory = c.actor.outgoing.memory = MemoryBudget(1_000_000)
+        fill(budget, int(budget.common * 0.64))
+        c.send(START + b"A" * 20_000)
+        c.sock.settimeout(10)
+        answer = json.loads(c.sock.makefile("rb").readline())
+        assert answer["id"] == 7 and answer["error"]["code"] == REFUSED
+        assert budget.used[Owner.INPUT] == 0
+        c.send(b"A" * 20_000 + b'"}}\n' + line(8, "probe"))
+        assert c.read(1) == [(8, 0)]
+
+
+# Guards against a connection that is closed since others took the memory while its reader waited for data.
+def test_reader_looks_for_memory_again_after_it_waited() -> None:
+    with connected() as c:
+        budget = c.core.memory = c.actor.memory = c.actor.outgoing.memory = MemoryBudget(1_000_000)
+        c.send_calls(1)
+        gevent.sleep(0.02)  # the reader waits
+        fill(budget, 1_000_000)
+        c.send(line(2))
+        gevent.sleep(0.1)
+        assert not c.actor.finished and 2 not in c.core.calls and budget.used[Owner.INPUT] == 0
+        fill(budget, 0)
+        until(lambda: 2 in c.core.calls, "read")
+        assert not c.log.totals
