Give each stand-in a loopback host of its own, and say of a failed step how the invoker and its peer stand

Model hosts and the bus now listen where no other play's connection can come, and such a failure tells the peer's address and the exit code. No check is changed.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -93,8 +93,14 @@
 }
 
 
+def own_host() -> str:
+    """Return a loopback host that no other test, also of a concurrent run, and no outgoing connection uses."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + next(ADDRESSES) % 254}"
+
+
 def listener() -> socket.socket:
-    sock = socket.create_server(("127.0.0.1", 0))
+    sock = socket.create_server((own_host(), 0))
     sock.settimeout(TIMEOUT_S)
     return sock
 
@@ -110,9 +116,7 @@
     Its loopback host is used by this call alone: no other test, also of a concurrent run, and no outgoing
     connection takes it before the process binds.
     """
-    pid = os.getpid()
-    host = f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + next(ADDRESSES) % 254}"
-    with socket.create_server((host, 0)) as sock:
+    with socket.create_server((own_host(), 0)) as sock:
         return where(sock)
 
 
@@ -121,6 +125,7 @@
 
     def __init__(self, listening: socket.socket | None = None, sock: socket.socket | None = None) -> None:
         self.listening, self.connection, self.buffer = listening, sock, b""
+        self.peer: tuple[str, int] | None = None  # the other end of the connection that was accepted last
         self.decoder, self.unread_frames = frames.Decoder(1 << 20, frames.TO_HOST), list[frames.Frame]()
         self.last_ids: dict[int, int] = {}  # code -> id of the newest frame
 
@@ -131,7 +136,7 @@
     def sock(self) -> socket.socket:
         if self.connection is None:
             assert self.listening is not None
-            self.connection, _ = self.listening.accept()
+            self.connection, self.peer = self.listening.accept()
             self.connection.settimeout(TIMEOUT_S)
             self.buffer, self.decoder = b"", frames.Decoder(1 << 20, frames.TO_HOST)
         return self.connection
@@ -292,7 +297,10 @@
                     name, *words = shlex.split(rest)
                     self.step(verb, name, words)
             except (AssertionError, OSError) as error:
-                raise AssertionError(f"at '{line}': {error!r}\nlog:\n{self.log()}") from error
+                code = self.process.poll()  # None: it still runs
+                raise AssertionError(
+                    f"at '{line}': {error!r}, exit code {code}\nlog:\n{self.log()}"
+                ) from error
 
     def step(self, verb: str, name: str, words: list[str]) -> None:
         if name == "node":
@@ -424,7 +432,7 @@
             assert frame is None, frame
             party.connection = None
             return
-        assert frame is not None, "the connection ended"
+        assert frame is not None, f"the connection from {party.peer} ended"
         self.assert_equal(words[0], next(n for n, c in FRAME_CODES.items() if c == frame.code))
         for name, value in (w.split("=", 1) for w in words[1:]):
             self.assert_equal(value, frame.body.decode() if name == "body" else frame.fields.get(name, "-"))
