Give new connections a place in the backlog, and refuse their calls where they wait too long

Mend: 256 places, each with the smallest receive buffer that Linux has (1.1 MB, kept back). Who is accepted after 2.5 s without a place has the calls that came refused by their ids: they were closed without a word, or waited on. The first of those that wait is accepted ahead for that: the kernel tells since when nothing came from it.

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -9,11 +9,13 @@
 MIN_BUDGET_BYTES = 2**20  # below it nobody could be served
 MARGIN_SHARE = 0.04  # of the memory, for what grows between two measurements
 RECEIVE_BUFFERS_SHARE, SEND_BUFFERS_SHARE = 1 / 12, 1 / 24  # of the budget, for the usual number of clients
-MIN_SOCKET_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 16 * 1024
+MIN_RECEIVE_BUFFER_BYTES = 2304  # Linux has no smaller ones; those of waiting connections fill up
+MIN_SEND_BUFFER_BYTES, MAX_SOCKET_BUFFER_BYTES = 4 * 1024, 16 * 1024
 HOST_BUFFER_SHARE = 1 / 64  # of the budget, for one link to a model host
 MIN_HOST_BUFFER_BYTES = 32 * 1024
 BACKLOG_ENTRY_BYTES = 128 * 1024  # of the budget, for each connection that may wait in the backlog
-MIN_BACKLOG, MAX_BACKLOG = 64, 512
+MIN_BACKLOG, MAX_BACKLOG = 256, 512
+BACKLOG_SHARE = 1 / 3  # of the budget, that the buffers of these connections may take
 
 
 @dataclass(slots=True)
@@ -97,21 +99,21 @@
 
     def receive_buffer_bytes(self) -> int:
         """Return the size of a client's receive buffer; the kernel takes up to twice that."""
-        return self.socket_buffer_bytes(RECEIVE_BUFFERS_SHARE)
+        return self.socket_buffer_bytes(RECEIVE_BUFFERS_SHARE, MIN_RECEIVE_BUFFER_BYTES)
 
     def send_buffer_bytes(self) -> int:
         """Return the size of a client's send buffer; the kernel takes up to twice that."""
-        return self.socket_buffer_bytes(SEND_BUFFERS_SHARE)
+        return self.socket_buffer_bytes(SEND_BUFFERS_SHARE, MIN_SEND_BUFFER_BYTES)
 
     def host_buffer_bytes(self) -> int:
         """Return the size of the receive buffer of a link to a model host; the kernel may double it."""
         size = int(self.budget_bytes() * HOST_BUFFER_SHARE)
         return min(max(size, MIN_HOST_BUFFER_BYTES), self.answer_bytes)
 
-    def socket_buffer_bytes(self, share: float) -> int:
+    def socket_buffer_bytes(self, share: float, minimum: int) -> int:
         """Return the size of one buffer if the usual number of clients may have that share of the budget."""
         size = int(self.budget_bytes() * share / max(1, self.sockets // 3))
-        return min(max(size, MIN_SOCKET_BUFFER_BYTES), MAX_SOCKET_BUFFER_BYTES)
+        return min(max(size, minimum), MAX_SOCKET_BUFFER_BYTES)
 
     def backlog_bytes(self) -> int:
         """Return what the kernel may hold for the connections that it accepts ahead of the process."""
@@ -119,4 +121,5 @@
 
     def backlog(self) -> int:
         """Return how many connections the kernel accepts ahead of the process."""
-        return min(max(self.budget_bytes() // BACKLOG_ENTRY_BYTES, MIN_BACKLOG), MAX_BACKLOG)
+        wanted = min(max(self.budget_bytes() // BACKLOG_ENTRY_BYTES, MIN_BACKLOG), MAX_BACKLOG)
+        return min(wanted, int(self.budget_bytes() * BACKLOG_SHARE) // (2 * self.receive_buffer_bytes()))
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -25,6 +25,7 @@
 CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
 CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
 REQUEST_BYTES = 4 * 1024  # of an open request, without its body
+MAX_PLACE_WAIT_MS = 2500.0  # of a new connection for its place, after which its calls are refused
 MEASURE_EACH_BYTES = 16 * 1024  # charged, after which the resident memory is read again
 
 
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -37,6 +36,7 @@
 from .line_buffer import LineBuffer
 from .outgoing import OutgoingQueue
 from .read_turns import TURN_LINES, ReadRate, ReadTurns
+from .refusal import CALL_START
 from .unread import (
     InputState,
     given_up_id,
@@ -51,7 +51,6 @@
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while the mailbox is full
 MEMORY_POLL_MS = 60.0  # between checks for memory to read on
 MAX_MEMORY_WAIT_MS = 500.0  # for memory to read a line, after which its call is refused
-CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 MAX_UNSENT_MESSAGES = 256
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -18,10 +18,12 @@
 from ..core.pauses import PauseWatch
 from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
-from ..memory_budget import CONNECTION_BYTES, MIN_INPUT_BYTES, Owner, Pressure
+from ..memory_budget import CONNECTION_BYTES, MAX_PLACE_WAIT_MS, MIN_INPUT_BYTES, Owner, Pressure
 from .client import ClientActor, CloseIfIdle, TransferWhenIdle
 from .listening import wait_for_listener
 from .read_turns import ReadTurns
+from .refusal import refuse_connection
+from .unread import ms_since_data
 
 RELIEF_MS = 50.0  # between closings while the memory is short
 
@@ -146,7 +148,6 @@
         """Run the acceptor's greenlet until its descriptor is closed."""
         pauses = RetryDelays()
         while not self.finished:
-            self.wait_for_room(acceptor)
             try:
                 sock, peer = acceptor.accept()
             except OSError as error:
@@ -157,18 +158,33 @@
                 pauses.sleep()
                 continue
             pauses.reset()
-            if (accepted := prepare_connection(sock, peer, self.log)) is not None:
+            if (accepted := prepare_connection(sock, peer, self.log)) is None:
+                continue
+            if self.wait_for_room(acceptor, accepted.sock):
                 self.blocking_send(accepted)
+            else:
+                self.refuse_connection(accepted.sock, accepted.name)
 
-    def wait_for_room(self, acceptor: socket.socket) -> None:
-        """Leave new connections in the backlog while there is no room for them and there may be soon.
+    def wait_for_room(self, acceptor: socket.socket, accepted: socket.socket) -> bool:
+        """Wait while there is no room for the connection and may be soon; those after it are not accepted.
 
-        If all are busy, a new connection is rejected at once, so that the client can try elsewhere.
+        Returns False if it has waited too long, in the kernel's backlog and here. If all are busy, a new
+        connection is rejected at once, so that the client can try elsewhere.
         """
+        held_since = now_ms()
         while acceptor.fileno() >= 0 and self.is_full() and self.may_get_room():
+            if max(ms_since_data(accepted), now_ms() - held_since) >= MAX_PLACE_WAIT_MS:
+                return False
             self.client_closed.clear()
             self.try_send(CloseIdleClient())
             self.client_closed.wait(self.limits.client_fresh_ms / 1000)
+        return True
+
+    def refuse_connection(self, sock: socket.socket, name: str) -> None:
+        """Refuse the calls of a connection that gets no place."""
+        count = refuse_connection(sock, "no place for this connection", self.maker.settings.max_retry_after)
+        text = f"{name}: {len(self.clients)} connections are open, {count} of its calls are refused"
+        self.log("too-many-clients", text)
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
@@ -309,8 +325,7 @@
         if len(self.clients) >= self.hard_limit or self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
             self.close_stalled_client("a new connection needs its place")
         if len(self.clients) >= self.hard_limit:
-            self.log("too-many-clients", f"{len(self.clients)} connections are open")
-            sock.close()
+            self.refuse_connection(sock, name)
             return
         if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
             self.log("connection-waits", f"{name}: {self.memory.describe()}")
