Close clients that only send unsound lines where new connections need their places

Mend: a client without open calls whose lines wait since they were more than it may send gives way, unless one of them is a call.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -36,7 +36,7 @@
 from .line_buffer import LineBuffer
 from .outgoing import OutgoingQueue
 from .read_turns import TURN_LINES, ReadRate, ReadTurns
-from .refusal import CALL_START
+from .refusal import CALL_MEMBER, CALL_START
 from .unread import (
     InputState,
     given_up_id,
@@ -200,8 +200,11 @@
 
         It moves on if the kernel has something from it that is not read here, or accepts something for it: a
         delay of this process is not the client's. A client that is owed answers has not stalled. One whose
-        long line can't be read for want of memory has: those that hold little need its place.
+        long line can't be read for want of memory has: those that hold little need its place. So has one that
+        sends more lines than it may, none of which is a call.
         """
+        if self.sends_too_many_lines(now):
+            return self.charged_input
         if self.open or self.mailbox or self.unposted:
             return 0
         stalled = 0
@@ -212,6 +215,13 @@
             stalled += self.outgoing.unsent_bytes
         return stalled
 
+    def sends_too_many_lines(self, now: float) -> bool:
+        """Return whether lines wait since there were more than the client may send, and none is a call."""
+        if self.open or not self.unposted or not self.read_rate.is_high(now):
+            return False
+        posted = (message.data for message in self.mailbox if isinstance(message, LineReceived))
+        return CALL_MEMBER not in self.input.unread() and not any(CALL_MEMBER in line for line in posted)
+
     def sends_nothing(self) -> bool:
         """Return whether nothing is unread and nothing came for some time, as the kernel has it."""
         return input_state(self.sock) is InputState.EMPTY and ms_since_data(self.sock) > STALLED_MS
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -13,6 +13,7 @@
 
 CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 GIVE_UP_METHOD = "giveUp"
+CALL_MEMBER = b"method"  # in each call
 MAX_INPUT_BYTES = 64 * 1024  # more than a receive buffer holds
 
 
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -229,6 +229,18 @@
         assert c.actor.stalled_bytes(now_ms()) == 0 and c.actor.waiting_bytes() == 0
 
 
+# Guards against places that clients hold for good which send more lines than they may, or against calls
+# among such lines that go with their connection.
+@pytest.mark.parametrize(
+    "lines", [b"1\n" * 2000, b"1\n" * 2000 + line(1, "probe")], ids=["no call", "a call"]
+)
+def test_client_that_sends_too_many_lines_gives_way_unless_one_is_a_call(lines: bytes) -> None:
+    with connected() as c, c.actor.turns.turn():
+        c.send(lines)
+        until(lambda: c.actor.read_rate.is_high(now_ms()) and c.actor.unposted, "its rate is high")
+        assert c.actor.stalled_bytes(now_ms()) == (0 if b"probe" in lines else c.actor.charged_input)
+
+
 # Guards against connections that wait for a place until their calls' time is up.
 def test_calls_of_a_connection_without_a_place_are_refused_in_time() -> None:
     front = Front()
