--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -88,6 +88,13 @@
     assert made.peaks.both <= 64
 
 
+# Guards against clients that hold all places for good, as lines that are no calls always wait of them.
+def test_usual_client_gets_a_place_beside_a_crowd_of_short_lines() -> None:
+    made = play_picture("short-330", 32, 1.5 * PLAY_S)
+    assert made.codes == [None]
+    assert set(made.usual.outcomes) == {"served"}
+
+
 # Guards against calls that are lost with a connection that is closed, or answered too late, beside a crowd.
 @pytest.mark.parametrize("memory_mb", [64, 192])
 def test_no_call_of_steady_clients_is_lost_beside_a_crowd(tmp_path: Path, memory_mb: int) -> None:
