Take usual calls before large requests that came earlier

Callers saw: beside 330 clients that each send a request of 55 KB a second, single calls of a usual client were refused ("trying again is harmless") though hosts were free.

Times noted on the way of each call: 600 to 1,000 ms in the queue of arrivals behind up to 340 of the crowd's, eight of which are taken a round; what was left to the router until its early refusal was 220 to 670 ms.

Cause: the queue ordered clients by the count of their calls alone, so one call of 55 KB had the same right as one of 600 bytes. Of the same class as the requests that are dear to decode: work is not charged to who causes it.

The mend: a request of several times the ordinary size (6 KB) counts as further calls in the queue's order. Calls of one connection stay in their order, and the bound on the wait stays.

Its test failed before.

--- a/harrieryoke/core/arrivals.py
+++ b/harrieryoke/core/arrivals.py
@@ -1,4 +1,4 @@
-"""The queue of calls before the request table: clients with fewer taken calls go first."""
+"""The queue of calls before the request table: clients with fewer and smaller calls go first."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from ..memory_budget import MIN_INPUT_BYTES
 from .records import Call, CallOrigin, CallReceived
 
 Origin = CallOrigin | int  # a connection, or the serial number of a call without one
@@ -17,12 +18,20 @@
 MAX_GONE = 64  # entries of calls that are gone, beside as many as wait, before they are cleared
 
 
+def rank(call: Call, taken: int) -> int:
+    """Return the rank of a call whose client has so many calls in the table; lower ones go first.
+
+    A request of several times the ordinary size counts as further calls: it is as much work.
+    """
+    return taken + call.line_bytes // MIN_INPUT_BYTES
+
+
 class ArrivalQueue:
     """Calls in the order in which they are taken.
 
     The calls of one connection wait in their order. Connections with fewer calls in the table go first: a
-    client with many calls at once delays itself and not the others, and one that the process was slow to
-    serve does not lose its place by what piled up meanwhile.
+    client with many calls at once, or with large ones, delays itself and not the others, and one that the
+    process was slow to serve does not lose its place by what piled up meanwhile.
     """
 
     def __init__(self) -> None:
@@ -48,7 +57,7 @@
         else:
             self.by_origin[origin] = deque([serial])
             taken = call.open_before if call.origin is None else call.origin.open_calls() - 1
-            heappush(self.turns, (taken, serial, origin))
+            heappush(self.turns, (rank(call, taken), serial, origin))
 
     def remove(self, serial: int) -> CallReceived | None:
         """Remove a call; return None if it was withdrawn."""
@@ -81,7 +90,7 @@
         """Enter an origin whose calls wait again, behind those with fewer taken calls."""
         first = self.arrivals[waiting[0]].call
         taken = 0 if first.origin is None else first.origin.open_calls() - len(waiting)
-        heappush(self.turns, (taken, next(self.serial), origin))
+        heappush(self.turns, (rank(first, taken), next(self.serial), origin))
 
     def next_give_up(self) -> float:
         """Return when the next call has waited too long; infinity if none waits."""
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -604,7 +604,7 @@
                 raise BadRequestError(REFUSED, "the open requests of this connection hold too much memory")
         except BadRequestError as error:
             return self.reject_line(id, method, error)
-        call.open_before = len(self.open)
+        call.open_before, call.line_bytes = len(self.open), len(data)
         self.open[id], self.ids[call] = call, id
         self.open_bytes += request_size(len(call.body))
         self.core.offer(call, self)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -67,6 +67,21 @@
     assert first.count(steady) >= min(waiting, greedy)
 
 
+# Guards against a usual call that waits behind a crowd of large requests, which are dear to decode.
+@given(st.integers(1, 60), st.integers(20_000, 65_536))
+def test_usual_call_goes_before_large_requests_that_came_earlier(large: int, line_bytes: int) -> None:
+    queue = ArrivalQueue()
+    for _ in range(large):
+        arrival = call_of(Origin())
+        arrival.call.line_bytes = line_bytes
+        queue.add(arrival, 0.0)
+    usual = call_of(Origin())
+    usual.call.line_bytes = 600
+    queue.add(usual, 1.0)
+    assert next(queue.take(1)) is usual
+    assert len(list(queue.take(large))) == large
+
+
 # Guards against calls that wait to be taken until their time is over, with or without withdrawn ones.
 @given(st.lists(st.tuples(st.floats(0, 5000), st.booleans()), max_size=200), st.floats(0, 6000))
 def test_calls_that_wait_too_long_leave_the_queue(calls: list[tuple[float, bool]], now: float) -> None:
