Check again before the first byte of an attempt if the process stood still in the check

Callers saw: an attempt for a client that had half-closed 200 to 340 ms before; 100 are allowed.

Cause: the answer to a check was used however old it was.

The mend: the frame is encoded first, and a check that took longer than 5 ms (0.1 to 0.2 ms are usual) is made again. What is left is the time between reading the clock and the call of send.

Its two tests failed before (7 cases).

--- a/harrieryoke/net/host.py
+++ b/harrieryoke/net/host.py
@@ -24,6 +24,7 @@
 from .link import HostSocket, Link, PendingFrame, host_socket
 
 FRAMES_WAIT_S = 0.002  # until answers that were read have been passed on
+MAX_CHECK_MS = 5.0  # that the check before a first byte takes if the process does not stand still
 # ids of orders and probes; requests bring their own ids, which must not collide with these on a link
 FIRST_INTERNAL_FRAME_ID = 1 << 63
 # reported by the kernel; a dial that times out in this process has no errno
@@ -217,6 +218,18 @@
             return False
         return not (isinstance(task, AttemptTask) and is_withdrawn(task.call))
 
+    def may_start_at_once(self, task: Task) -> bool:
+        """Return whether the task may be written at once.
+
+        If the process stood still during the check, its result may be outdated: it is made again.
+        """
+        while True:
+            started_at = now_ms()
+            if not self.may_start(task):
+                return False
+            if now_ms() - started_at <= MAX_CHECK_MS:
+                return True
+
     def may_drop_copies(self) -> bool:
         return self.status.state is i.WorkerStatus.UP and not self.status.replaced
 
@@ -267,20 +280,23 @@
                 self.metrics.class_metrics(self.classes[frame.task.call.class_index].name).tries += 1
 
     def prepare_frame(self, link: Link, frame: PendingFrame) -> bool:
-        """Drop a frame that is no longer wanted, or encode it; called directly before its first byte."""
+        """Encode a frame, or drop it if it is no longer wanted; called directly before its first byte.
+
+        The check comes last, so that its result is as fresh as can be.
+        """
         task = frame.task
         if task is None:
             if frame.code != frames.UNLOAD or self.may_drop_copies():
                 return True
             link.backlog.popleft()
             return False
-        if not self.may_start(task):
-            link.backlog.popleft()
-            del self.locations[task]
-            self.end_task(task, i.Outcome.NOT_SENT)
-            return False
         frame.unwritten = self.encode_task(frame, task)
-        return True
+        if self.may_start_at_once(task):
+            return True
+        link.backlog.popleft()
+        del self.locations[task]
+        self.end_task(task, i.Outcome.NOT_SENT)
+        return False
 
     def record_started(self, link: Link, id: int, task: Task) -> None:
         link.open[id] = task
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -209,6 +209,49 @@
     assert host.peers[0].received == [request(0xA), request(2)] and host.count_attempts() == 2
 
 
+# Guards against an attempt for a client that leaves while the process stands still between check and write.
+@pytest.mark.parametrize("change", CHANGES)
+def test_a_task_cancelled_while_its_frame_is_encoded_is_not_sent(
+    make_host: MakeHost,
+    change: Callable[[SteppedHost, AttemptTask], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    host, task, encode = make_host(), attempt(1), frames.encode
+
+    def change_and_encode(*args: Any) -> bytes:
+        change(host, task)
+        return encode(*args)
+
+    monkeypatch.setattr(frames, "encode", change_and_encode)
+    host.send_task(task)
+    assert host.results == [(task, NOT_SENT)] and not task.write_started and not host.locations
+
+
+class Leaving:
+    """A client that leaves while the process stands still in the first check, after it was asked for."""
+
+    def __init__(self) -> None:
+        self.has_left = False
+
+    def open_calls(self) -> int:
+        return 1
+
+    def has_withdrawn(self, call: Call) -> bool:
+        had_left = self.has_left
+        if not had_left:
+            time.sleep(0.1)
+        self.has_left = True
+        return had_left
+
+
+# Guards against an attempt for a client that leaves while the process stands still within the check.
+def test_the_check_before_the_first_byte_is_made_again_after_a_standstill(make_host: MakeHost) -> None:
+    host, task = make_host(), attempt(1)
+    host.on_dial = lambda: setattr(task.call, "origin", Leaving())
+    host.send_task(task)
+    assert host.results == [(task, NOT_SENT)] and not task.write_started and not host.locations
+
+
 # --- a host that does not read ---
 
 
