Rank calls by the fields that are dear to decode, not by size, where they wait to be taken

Large requests whose answer is quick waited then behind small ones with answers of 2.5 s, which filled the hosts; more calls were refused by the router without an attempt.

The mend: what was meant is the work in the process, and that is the number of fields, known or not. A request with more than 100 counts as one further call, and no more than one, so that its client's turn comes.

--- a/harrieryoke/core/arrivals.py
+++ b/harrieryoke/core/arrivals.py
@@ -1,4 +1,4 @@
-"""The queue of calls before the request table: clients with fewer and smaller calls go first."""
+"""The queue of calls before the request table: clients with fewer taken calls go first."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from ..memory_budget import MIN_INPUT_BYTES
 from .records import Call, CallOrigin, CallReceived
 
 Origin = CallOrigin | int  # a connection, or the serial number of a call without one
@@ -15,22 +14,23 @@
 MAX_WAIT_SHARE = (
     0.45  # of the time that a call has left, after which it is refused: later a refusal would come too late
 )
+MAX_USUAL_PROPS = 100  # of a request; a usual one has a few, and thousands are dear to decode
 MAX_GONE = 64  # entries of calls that are gone, beside as many as wait, before they are cleared
 
 
 def rank(call: Call, taken: int) -> int:
     """Return the rank of a call whose client has so many calls in the table; lower ones go first.
 
-    A request of several times the ordinary size counts as further calls: it is as much work.
+    A request that was dear to decode counts as a further call.
     """
-    return taken + call.line_bytes // MIN_INPUT_BYTES
+    return taken + (call.prop_count > MAX_USUAL_PROPS)
 
 
 class ArrivalQueue:
     """Calls in the order in which they are taken.
 
     The calls of one connection wait in their order. Connections with fewer calls in the table go first: a
-    client with many calls at once, or with large ones, delays itself and not the others, and one that the
+    client with many calls at once, or with dear ones, delays itself and not the others, and one that the
     process was slow to serve does not lose its place by what piled up meanwhile.
     """
 
--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -40,7 +40,7 @@
     abandoned: bool = False  # the client has gone; set by the front, read by the senders
     started: bool = False  # the first byte of an attempt was written; set by the senders
     class_name: str = ""
-    line_bytes: int = 0  # of the request as its client sent it
+    prop_count: int = 0  # in the request, known or not
     open_before: int = 0  # calls of its connection that were open when it came
     reservation: Reservation | None = None  # its memory
     answer_reservation: Reservation | None = None  # the memory of the answer on its way to the client
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -26,6 +26,7 @@
     FAILED,
     INVALID,
     NO_METHOD,
+    PROP_SEPARATOR,
     REFUSED,
     BadRequestError,
     CallParams,
@@ -604,7 +605,7 @@
                 raise BadRequestError(REFUSED, "the open requests of this connection hold too much memory")
         except BadRequestError as error:
             return self.reject_line(id, method, error)
-        call.open_before, call.line_bytes = len(self.open), len(data)
+        call.open_before = len(self.open)
         self.open[id], self.ids[call] = call, id
         self.open_bytes += request_size(len(call.body))
         self.core.offer(call, self)
@@ -641,6 +642,7 @@
                 parse_props(call_params.props),
             )
             call.client, call.class_name, call.origin = self.peer, method, self
+            call.prop_count = call_params.props.count(PROP_SEPARATOR) + 1
             return call
         except (msgspec.MsgspecError, InvalidCallError, ValueError) as error:
             raise BadRequestError(BAD_PARAMS, str(error)) from None
--- a/harrieryoke/net/jsonrpc.py
+++ b/harrieryoke/net/jsonrpc.py
@@ -7,6 +7,7 @@
 # error codes: of this service, and of JSON-RPC
 REFUSED, FAILED = -32050, -32000
 PARSE, INVALID, NO_METHOD, BAD_PARAMS = -32700, -32600, -32601, -32602
+PROP_SEPARATOR = ";"
 
 
 class Message(msgspec.Struct):
@@ -48,7 +49,7 @@
 def parse_props(text: str) -> dict[str, float]:
     """Parse `name:number;name:number`; the caller ignores unknown names."""
     props = {}
-    for pair in text.split(";") if text else []:
+    for pair in text.split(PROP_SEPARATOR) if text else []:
         name, _, value = pair.partition(":")
         props[name] = float(value)
     return props
