--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from dataclasses import replace
 
 from hypothesis import given
@@ -21,7 +22,7 @@
     WorkersListed,
 )
 from harrieryoke.router import Router
-from harrieryoke.state import MIN_STALE_TASKS
+from harrieryoke.state import MIN_STALE_TASKS, Function
 
 from .rig import SETTINGS, workers
 
@@ -101,3 +102,18 @@
     ended = AttemptEnded(names.last, attempt.worker, 0, Outcome.NOT_SENT, 1.0, True)
     names.router.handle(names.now, [ended])
     assert not names.router.workers[attempt.worker].hold_off.is_active(names.now)
+
+
+# Guards against forgotten functions whose records live on in scheduled tasks.
+def test_records_of_forgotten_functions_are_freed() -> None:
+    gc.collect()
+    before = count_functions()
+    names, limit = Names(), max_functions(SMALL, WORKERS)
+    for n in range(30 * limit + 4 * MIN_STALE_TASKS):
+        names.ask(f"{n:016x}", Outcome.OK, withdrawn=False)
+    assert count_functions() - before <= 2 * limit + MIN_STALE_TASKS
+
+
+def count_functions() -> int:
+    """Return how many records of functions are alive."""
+    return sum(isinstance(each, Function) for each in gc.get_objects())
