--- a/harrieryoke/copy_width.py
+++ b/harrieryoke/copy_width.py
@@ -73,14 +73,20 @@
 
     def record_copy(self, function: Function, worker_id: int, count: int = 0) -> Copy:
         """Notes that the worker has the function loaded; a count of 0 means that it was not reported."""
-        if not function.copies:
-            self.schedule(self.settings.keep_alive / 4, self.maintain_copies, function)
+        self.schedule_maintenance(function)
         function.has_history = True
         copy = function.copies.setdefault(worker_id, Copy(1, self.now))
         copy.last_seen, copy.count = self.now, max(1, count or copy.count)
         function.missed_until.pop(worker_id, None)
         return copy
 
+    def schedule_maintenance(self, function: Function) -> None:
+        """Has the copies of the function looked after; at most one such task is scheduled."""
+        if not function.maintenance_scheduled and not function.forgotten:
+            function.maintenance_scheduled = True
+            self.with_copies[function.name] = function
+            self.schedule(self.settings.keep_alive / 4, self.maintain_copies, function)
+
     def maintain_copies(self, function: Function) -> None:
         """Forgets copies long unseen, renews the first copy of a function in use and drops idle extra copies.
 
@@ -89,6 +95,7 @@
         """
         if function.forgotten:
             return
+        function.maintenance_scheduled = False
         keep_alive, front_ends = self.settings.keep_alive, self.settings.front_ends
         for worker_id, copy in list(function.copies.items()):
             expired = self.now - copy.last_seen > keep_alive * max(1, front_ends / 4)
@@ -111,7 +118,9 @@
             ):
                 self.drop_copies(function, worker_id)
         if function.copies:
-            self.schedule(keep_alive / 4, self.maintain_copies, function)
+            self.schedule_maintenance(function)
+        else:
+            self.with_copies.pop(function.name, None)
 
     def drop_copies(self, function: Function, worker_id: int) -> None:
         """Has the worker unload the idle copies of the function."""
@@ -152,7 +161,7 @@
         available_mb = dict(enumerate(self.settings.memory_by_kind)).get(kind, inf)
         loaded_here = []
         if worker_id not in function.copies:
-            loaded_here = [other for other in self.functions.values() if worker_id in other.copies]
+            loaded_here = [other for other in self.with_copies.values() if worker_id in other.copies]
         loaded_mb = sum(other.copies[worker_id].count * other.memory for other in loaded_here)
         needed_mb = function.memory + loaded_mb
         for other in loaded_here:
--- a/harrieryoke/lab/judge/__main__.py
+++ b/harrieryoke/lab/judge/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m harrieryoke.lab.judge SEED...` plays each seed and prints its verdict; exit code 1 at a break."""
+"""Plays scenarios by their seeds: `python -m harrieryoke.lab.judge SEED...`; ends with 1 at a break."""
 
 from __future__ import annotations
 
--- a/harrieryoke/router.py
+++ b/harrieryoke/router.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from .copy_width import CopyPlacement, adapt_copy_width
-from .function_table import make_room
+from .function_table import forget_unused, make_room
 from .interface import (
     Action,
     AttemptEnded,
@@ -41,7 +41,6 @@
 MIN_ORDER_CAP = 2.0
 MAX_ORDER_CAP = 12.0
 EARLY_REFUSAL_SHARE = 0.45  # of the time to the deadline: the refusal arrives in the first half
-FORGET_KEEP_ALIVES = 8.0  # keep-alives without use until a function is forgotten
 MAX_REQUESTS_PER_SLOT = 3  # of this front end at a copy, with the queued ones
 PREWARM_LIMIT_SHARE = 0.5  # of the order limit
 TASKS_OF_REQUEST = 2  # scheduled for each request: its early refusal and its rejection
@@ -158,7 +157,7 @@
         for function in filter(None, map(self.functions.get, self.prewarm_requests)):
             below_half_cap = self.orders_in_progress < self.order_cap / 2
             has_spare_capacity = below_half_cap and not self.is_loading(function)
-            function.last_used = self.now - self.total_idle_time
+            self.use_function(function)
             if (
                 has_spare_capacity
                 and not any(self.usable_copies(function))
@@ -261,16 +260,17 @@
         self.total_idle_time += gap if gap > self.settings.keep_alive / 8 else 0.0
         self.recent_calls = 1 + self.recent_calls * exp2(-gap / self.settings.keep_alive / 0.69)
         if (function := self.functions.get(event.function)) is None:
-            make_room(self, self.settings)
             load_time = event.load_time or request_class.latency_target
             mean_duration = request_class.latency_target / 4
             function = Function(
                 event.function, digest(event.function), event.class_index, load_time, mean_duration
             )
-            self.functions[event.function] = function
-            self.schedule(FORGET_KEEP_ALIVES * self.settings.keep_alive, self.forget_unused, function)
+            self.add_function(function)
+            self.used_once[function.name] = function
+        else:
+            self.used_once.pop(function.name, None)
         function.memory, function.slots = event.memory, max(1, event.slots)
-        function.last_used = self.now - self.total_idle_time
+        self.use_function(function)
         advised_target = event.latency_target or request_class.latency_target
         target_time = arrived_at + min(request_class.latency_target, advised_target)
         request = self.requests[event.request] = Request(
@@ -289,16 +289,19 @@
                 request.worth *= self.settings.over_share_worth
         self.enqueue(function, request)
 
-    def forget_unused(self, function: Function) -> None:
-        """Removes a function long unused with nothing in progress; bounds memory after one-time calls."""
-        if function.forgotten:
-            return
-        keep_alive = self.settings.keep_alive
-        remaining = FORGET_KEEP_ALIVES * keep_alive - (self.now - self.total_idle_time - function.last_used)
-        if remaining <= 0 and not (function.copies or function.in_use()):
-            self.forget_function(function)
-        else:
-            self.schedule(max(remaining, keep_alive), self.forget_unused, function)
+    def add_function(self, function: Function) -> None:
+        """Adds a function to the table, and has those long unused looked for."""
+        make_room(self, self.settings)
+        self.functions[function.name] = function
+        if not self.sweep_scheduled:
+            self.sweep_scheduled = True
+            self.schedule(self.settings.keep_alive, self.sweep_functions, None)
+
+    def sweep_functions(self, _: None) -> None:
+        """Removes the functions long unused; runs each keep-alive as long as more than one is left."""
+        self.sweep_scheduled = forget_unused(self, self.settings)
+        if self.sweep_scheduled:
+            self.schedule(self.settings.keep_alive, self.sweep_functions, None)
 
     def enqueue(self, function: Function, request: Request) -> None:
         """Queues a request and schedules its early refusal and its rejection before the deadline."""
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -18,6 +18,7 @@
 
 NEVER = -1e18  # a time before all others
 MIN_STALE_TASKS = 256  # fewer are not worth a pass over all scheduled tasks
+STALE_SHARE = 1 / 4  # of all scheduled tasks, from which the stale ones are removed
 
 
 def count_since(times: deque[float], since: float) -> int:
@@ -132,6 +133,7 @@
     copy_width: float = 1.0  # number of workers that should have copies
     sole_user: bool = False  # a copy expired between own requests: no other front end renews it
     dispatch_scheduled: bool = False
+    maintenance_scheduled: bool = False  # of its copies
     has_history: bool = False  # a copy was known at some time
     forgotten: bool = False  # no longer in the table of functions
     copies: dict[int, Copy] = field(default_factory=dict)
@@ -197,7 +199,10 @@
         self.ejected_count = self.orders_in_progress = self.task_serial = 0
         self.actions: list[Action] = []
         self.workers: dict[int, Worker] = {}
-        self.functions: dict[str, Function] = {}
+        self.functions: dict[str, Function] = {}  # in the order of their last use
+        self.used_once: dict[str, Function] = {}  # those that only one request has named, in that order
+        self.with_copies: dict[str, Function] = {}  # each that has copies, and some that had
+        self.sweep_scheduled = False  # of functions long unused
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.scheduled: list[tuple[float, int, Callable[[Any], None], Any]] = []  # heap
@@ -307,7 +312,7 @@
             _, _, action, argument = heappop(self.scheduled)
             self.stale_tasks -= self.stale_tasks > 0 and self.is_stale(argument)
             action(argument)
-        if self.stale_tasks > max(MIN_STALE_TASKS, len(self.scheduled) // 2):
+        if self.stale_tasks > max(MIN_STALE_TASKS, len(self.scheduled) * STALE_SHARE):
             self.scheduled = [task for task in self.scheduled if not self.is_stale(task[3])]
             heapify(self.scheduled)
             self.stale_tasks = 0
@@ -323,12 +328,19 @@
             return argument.forgotten
         return isinstance(argument, tuple) and argument not in self.attempts
 
+    def use_function(self, function: Function) -> None:
+        """Records a use of the function now."""
+        function.last_used = self.now - self.total_idle_time
+        self.functions[function.name] = self.functions.pop(function.name)
+
     def forget_function(self, function: Function) -> None:
         """Removes a function, unless it is the last one: a query to an ejected worker has to name one."""
         if len(self.functions) > 1 and not function.forgotten:
             del self.functions[function.name]
+            self.used_once.pop(function.name, None)
+            self.with_copies.pop(function.name, None)
             function.forgotten = True
-            self.stale_tasks += 1
+            self.stale_tasks += function.maintenance_scheduled + function.dispatch_scheduled
 
     def set_timer(self) -> None:
         """Requests a timer for the next scheduled task unless one is set."""
--- a/harrieryoke/state_transfer.py
+++ b/harrieryoke/state_transfer.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .router import FORGET_KEEP_ALIVES, Router
+from .router import Router
 from .state import Copy, Function, TokenBucket, Worker, WorkerLoad, digest
 
 VERSION = 2
@@ -265,8 +265,7 @@
     function.last_used = router.now - router.total_idle_time - max(0.0, state.age)
     function.copy_width, function.sole_user = state.copy_width, state.sole_user
     function.has_history = True
-    router.functions[function.name] = function
-    router.schedule(FORGET_KEEP_ALIVES * router.settings.keep_alive, router.forget_unused, function)
+    router.add_function(function)
     for copy in state.copies:
         if copy.worker in unchanged:
             router.record_copy(function, copy.worker)
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -114,6 +114,16 @@
     assert count_functions() - before <= 2 * limit + MIN_STALE_TASKS
 
 
+# Guards against functions in steady use that are forgotten for ever new names of another client.
+def test_ever_new_names_displace_each_other_and_not_functions_that_are_used() -> None:
+    names, limit = Names(), max_functions(SMALL, WORKERS)
+    for name in ("a", "a", "b", "b"):
+        names.ask(name, Outcome.OK, withdrawn=False)
+    for n in range(3 * limit):
+        names.ask(f"{n:016x}", Outcome.OK, withdrawn=False)
+    assert {"a", "b"} <= names.router.functions.keys() and len(names.router.functions) <= limit
+
+
 def count_functions() -> int:
     """Return how many records of functions are alive."""
     return sum(isinstance(each, Function) for each in gc.get_objects())
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -311,7 +311,8 @@
     rig = Rig(count=2)
     for n in range(50):
         copies = {1: Copy(1, -1e6), 2: Copy(1, -1e6)}
-        rig.router.functions[f"g{n}"] = Weighed(f"g{n}", n, 0, 500, 100, copies=copies)
+        weighed = Weighed(f"g{n}", n, 0, 500, 100, copies=copies)
+        rig.router.functions[weighed.name] = rig.router.with_copies[weighed.name] = weighed
     rig.router.handle(rig.now, [])
     new = Weighed("new", 50, 0, 500, 100)
     rig.router.free_memory(new, 1)
