Apply backpressure in place of closing, and end client connections in one place with a reason

Callers saw: a client that sends small lines and reads all the time loses its connection with all open calls: '256 messages are unsent'.

Cause: counts and shares stood in for what the client does. More than 256 unsent answers, an answer beyond a share, a line that finds no memory, a line that is too long, and a partial line that this process does not read were each a reason to close.

Now a connection is neither read nor handled while answers wait, and the kernel's window slows the client down. What waits 500 ms for memory is refused: a long line is skimmed, which keeps the top level that names the call and gives its memory back. An answer beyond the client's share gives way to an error, a line that is too long is answered. Answers to calls and refusals always find a place in the mailbox and in the account, as open calls bound them. A client that sends more lines than it may gives way to a new connection only once its input has been read to its end and the calls in it are refused.

end_connection is the only way in which the actor ends a connection; connection_state.py decides, and its table says for each reason whether calls may be owed. Any other end over an owed call does not happen, is counted (invoker_end_faults), logged with ids (end-fault, never omitted) and fails each test.

Tests that changed, as the rule is now another: a giveUp and a call behind answers that are not read are handled once these were accepted (the giveUp still counts before an attempt); more unsent answers than the bound are 32 answers in order, some of them errors, where the connection was closed; a client that sends too many lines ends after its calls, read or not, were refused.

--- a/harrieryoke/admin/commands.py
+++ b/harrieryoke/admin/commands.py
@@ -68,6 +68,17 @@
     ]
 
 
+def format_ends(metrics: Metrics) -> list[str]:
+    """Return a line for each figure of how client connections ended, and of calls without an answer then."""
+    ends = metrics.connection_ends.items()
+    owed = metrics.calls_owed.items()
+    return [
+        *(f'invoker_connection_ends{{reason="{reason}"}} {count}' for reason, count in ends),
+        *(f'invoker_calls_owed{{reason="{reason}"}} {count}' for reason, count in owed),
+        f"invoker_end_faults {metrics.end_faults}",
+    ]
+
+
 def format_metrics(metrics: Metrics) -> list[str]:
     """Return a line for each metric. Counters begin at the start of the process."""
     lines = []
--- a/harrieryoke/admin/server.py
+++ b/harrieryoke/admin/server.py
@@ -19,7 +19,7 @@
 from ..memory_budget import MemoryBudget
 from ..net.hostlist import Ban
 from ..net.listening import wait_for_listener
-from .commands import COMMANDS, format_memory, format_metrics, parse_command
+from .commands import COMMANDS, format_ends, format_memory, format_metrics, parse_command
 
 BACKLOG = 128  # connections that the kernel accepts ahead of the listener
 ACCEPT_RETRY_S = 0.05
@@ -154,7 +154,7 @@
 
     def show_memory(self) -> list[str]:
         """Return the memory that others hold, by owner, and the end mark."""
-        return [*format_memory(self.memory, resident_bytes()), "end"]
+        return [*format_memory(self.memory, resident_bytes()), *format_ends(self.metrics), "end"]
 
     def disable(self, id: str) -> list[str]:
         """Drain a model host until it is enabled."""
--- a/harrieryoke/core/actor.py
+++ b/harrieryoke/core/actor.py
@@ -65,6 +65,12 @@
         self.message_arrived.set()
         return True
 
+    def send_bounded(self, message: Any) -> None:
+        """Queue a message beyond the capacity too; something else bounds how many such messages there are."""
+        if not self.finished:
+            self.mailbox.append(message)
+            self.message_arrived.set()
+
     def blocking_send(self, message: Any) -> bool:
         """Queue a message, blocking while the mailbox is full up to its reserve."""
         while not self.finished and len(self.mailbox) >= self.capacity - self.reserve:
--- a/harrieryoke/core/metrics.py
+++ b/harrieryoke/core/metrics.py
@@ -36,6 +36,9 @@
         self.pool_size = 0  # model hosts in the list
         self.banned = self.avoided = 0  # of these, banned by an operator, and excluded by the router
         self.watched = False  # an admin listener runs: keep costly gauges current
+        self.connection_ends: dict[str, int] = {}  # of clients, by reason
+        self.calls_owed: dict[str, int] = {}  # without an answer at these ends, by reason
+        self.end_faults = 0  # ends for a reason that may not leave calls without an answer
         self.add_classes(names)
 
     @property
--- a/harrieryoke/log.py
+++ b/harrieryoke/log.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 
 # never omitted: each tells of calls that were lost
-UNLIMITED_KINDS = frozenset({"calls-dropped"})
+UNLIMITED_KINDS = frozenset({"calls-dropped", "end-fault"})
 
 
 class Log:
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -1,9 +1,9 @@
 """The memory that others can make the process hold: counted by owner, within one limit.
 
 The budget is what the configured memory leaves beyond the bare process. No charge passes it: a holder that
-can't charge waits, refuses or closes. As it fills, these give way in this order (`Pressure`): clients that
-hold more than their share are no longer read; stalled and idle connections close; new calls are refused. A
-part is kept for answers to calls that were taken. No I/O and no clock.
+can't charge waits or refuses; nobody is closed for memory. As it fills, these give way in this order
+(`Pressure`): clients that hold more than their share are no longer read; the calls of stalled partial lines
+are refused; new calls are refused. A part is kept for answers to calls that were taken. No I/O and no clock.
 
 The charges are constants, so what the process really takes is measured beside them (`measure_with`): resident
 memory and socket buffers beyond the bare process count like charges, whichever is more.
@@ -48,12 +48,12 @@
 
     NONE = 0
     READING = 1
-    CLOSING = 2
+    RELIEVING = 2
     REFUSING = 3
 
 
 # share of the budget without its reserve from which a level holds, and below which it ends
-LEVELS = {Pressure.READING: (0.5, 0.45), Pressure.CLOSING: (0.7, 0.65), Pressure.REFUSING: (0.9, 0.85)}
+LEVELS = {Pressure.READING: (0.5, 0.45), Pressure.RELIEVING: (0.7, 0.65), Pressure.REFUSING: (0.9, 0.85)}
 
 
 @dataclass(slots=True)
@@ -120,13 +120,17 @@
         """Charge so many bytes; return False, and charge nothing, if the budget does not allow it."""
         if size > self.free(owner):
             return False
+        self.charge(owner, size)
+        return True
+
+    def charge(self, owner: Owner, size: int) -> None:
+        """Charge bytes in any case: they are held already, or what was charged before bounds them."""
         self.used[owner] += size
         self.used_total += size
         self.charged_since_reading += size
         if self.charged_since_reading >= MEASURE_EACH_BYTES:
             self.measure()
         self.update_pressure()
-        return True
 
     def release(self, owner: Owner, size: int) -> None:
         """Give charged bytes back."""
@@ -160,7 +164,7 @@
         return held + size <= max(MIN_REQUESTS_BYTES, self.fair_share())
 
     def may_reserve_line(self, size: int) -> bool:
-        """Return whether so much may be reserved for the rest of a line, without having clients closed."""
+        """Return whether so much may be reserved for the rest of a line, without having others refused."""
         return self.held() + size <= self.common * LINES_SHARE
 
     def may_read_frame(self, size: int) -> bool:
--- /dev/null
+++ b/harrieryoke/net/connection_state.py
@@ -0,0 +1,113 @@
+"""Decisions on one client connection: may it be read, may its lines be handled, may it end. No I/O, no clock.
+
+The connection's actor reports the events and asks before it acts. Whoever ends a connection names a reason;
+`MAY_OWE` says for each whether calls may be left without an answer.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+MAX_MEMORY_WAIT_MS = 500.0  # for memory to read on, after which what is read is refused
+
+
+class EndReason(Enum):
+    """Why a connection ends."""
+
+    CLIENT_LEFT = "client-left"  # the client closed, half-closed or reset it
+    NOTHING_ACCEPTED = "nothing-accepted"  # for the whole write time-out the kernel took nothing for it
+    IDLE = "idle"  # nothing is open on it for longer than the limits allow
+    PLACE = "place"  # a new connection needs its place
+    LINE_TOO_LONG = "line-too-long"  # it sent one that can't be read, and no call is open
+    STOPPING = "stopping"  # the process stops
+    TRANSFERRED = "transferred"  # another process has taken over; the client keeps its connection
+    FAULT = "fault"  # an actor has died
+
+
+# whether calls may be left without an answer
+MAY_OWE = {
+    EndReason.CLIENT_LEFT: True,
+    EndReason.NOTHING_ACCEPTED: True,
+    EndReason.IDLE: False,
+    EndReason.PLACE: False,
+    EndReason.LINE_TOO_LONG: False,
+    EndReason.STOPPING: False,
+    EndReason.TRANSFERRED: False,
+    EndReason.FAULT: False,
+}
+
+
+class Refusal(Enum):
+    """Why a line is refused in place of being handled."""
+
+    NO_MEMORY = "no memory to read this request"
+    TOO_LONG = "the line is too long"
+    NO_PLACE = "no place for this connection"
+    STOPPING = "the process stops"
+
+
+class ConnectionState:
+    """What a connection owes its client, told by events."""
+
+    __slots__ = ("ended", "has_partial", "lines", "open_ids", "unsent_bytes")
+
+    def __init__(self) -> None:
+        self.open_ids: set[int] = set()  # of calls that were handled and have no answer
+        self.lines = 0  # read whole and not handled
+        self.has_partial = False  # a line has begun that is not refused
+        self.unsent_bytes = 0  # of answers that the kernel has not accepted
+        self.ended: EndReason | None = None
+
+    # --- events ---
+
+    def lines_read(self, count: int) -> None:
+        """The connection has so many more lines that are not handled."""
+        self.lines += count
+
+    def line_handled(self) -> None:
+        """One of them was handled or refused."""
+        assert self.lines > 0, "a line was handled that was not read"
+        self.lines -= 1
+
+    def partial_changed(self, has_partial: bool) -> None:
+        """A line has begun, or the last one is whole or refused."""
+        self.has_partial = has_partial
+
+    def call_opened(self, id: int) -> None:
+        """A call waits for its answer."""
+        self.open_ids.add(id)
+
+    def call_closed(self, id: int) -> None:
+        """The call was answered, or its client gave it up."""
+        self.open_ids.remove(id)
+
+    def unsent_changed(self, size: int) -> None:
+        """So many bytes of answers wait for the kernel."""
+        self.unsent_bytes = size
+
+    def connection_ended(self, reason: EndReason) -> None:
+        """The connection has ended: nothing is read, handled or written any more."""
+        if self.ended is None:
+            self.ended = reason
+
+    # --- decisions ---
+
+    def may_read(self) -> bool:
+        """Return whether to read on: while answers wait, the kernel's window slows the client down."""
+        return self.ended is None and not self.unsent_bytes
+
+    def may_handle(self) -> bool:
+        """Return whether the next line may be handled, which may add an answer to those that wait."""
+        return self.ended is None and not self.unsent_bytes
+
+    def must_refuse(self, waited_ms: float) -> bool:
+        """Return whether to refuse what is read, as it has waited so long for memory."""
+        return self.ended is None and waited_ms > MAX_MEMORY_WAIT_MS
+
+    def owes(self, has_unread: bool) -> bool:
+        """Return whether a call may be without a whole answer; `has_unread`: the kernel holds input."""
+        return bool(self.open_ids or self.lines or self.unsent_bytes or has_unread)
+
+    def may_end(self, reason: EndReason, has_unread: bool) -> bool:
+        """Return whether the connection may end for this reason. A partial line is no call yet."""
+        return MAY_OWE[reason] or not self.owes(has_unread)
--- a/harrieryoke/net/memory_monitor.py
+++ b/harrieryoke/net/memory_monitor.py
@@ -85,7 +85,7 @@
 
     def reclaim(self) -> None:
         """Return what is free to the system."""
-        if self.memory.pressure >= Pressure.CLOSING:
+        if self.memory.pressure >= Pressure.RELIEVING:
             gc.collect()
         self.allocator.trim()
         self.memory.measure()
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -19,13 +19,16 @@
 from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
 from ..memory_budget import CONNECTION_BYTES, MAX_PLACE_WAIT_MS, MIN_INPUT_BYTES, Owner, Pressure
-from .client import ClientActor, CloseIfIdle, TransferWhenIdle
+from .client import ClientActor
+from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, TransferWhenIdle
+from .connection_ends import ConnectionEnds
+from .connection_state import EndReason
 from .listening import wait_for_listener
 from .read_turns import ReadTurns
 from .refusal import refuse_connection
 from .unread import ms_since_data
 
-RELIEF_MS = 50.0  # between closings while the memory is short
+RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
 
 @dataclass(slots=True)
@@ -35,6 +38,11 @@
     sock: socket.socket
     name: str
     served_before: bool = False
+    accepted_at: float = 0.0
+
+
+class ConnectionRefused:
+    """The calls of a connection without a place were refused, and it was closed."""
 
 
 @dataclass(slots=True)
@@ -67,7 +75,7 @@
 
 
 class RelieveMemory:
-    """The memory is short: stalled and idle clients give way."""
+    """The memory is short: partial lines give way."""
 
 
 class ResumeAccepting:
@@ -82,7 +90,7 @@
         log("accept-failed", str(error))
         sock.close()
         return None
-    return ConnectionAccepted(sock, f"{peer[0]}:{peer[1]}")
+    return ConnectionAccepted(sock, f"{peer[0]}:{peer[1]}", accepted_at=now_ms())
 
 
 def limit_buffers(listening: socket.socket, limits: Limits) -> None:
@@ -108,6 +116,8 @@
         self.memory = core.memory
         self.memory.on_change = self.memory_pressure_changed
         self.turns = ReadTurns()
+        self.ends = ConnectionEnds(log, core.metrics)
+        self.refused_connections = 0  # whose calls are being refused
         self.waiting: deque[ConnectionAccepted] = deque()  # for memory
         self.stopping, self.all_closed = False, Event()
         self.client_closed = Event()  # set when a client connection has closed
@@ -182,9 +192,22 @@
 
     def refuse_connection(self, sock: socket.socket, name: str) -> None:
         """Refuse the calls of a connection that gets no place."""
-        count = refuse_connection(sock, "no place for this connection", self.maker.settings.max_retry_after)
-        text = f"{name}: {len(self.clients)} connections are open, {count} of its calls are refused"
-        self.log("too-many-clients", text)
+        self.refused_connections += 1
+        self.run_refusal(sock, name)
+
+    def run_refusal(self, sock: socket.socket, name: str) -> None:
+        """Refuse the calls of a connection until no more come, and close it."""
+        try:
+            count = refuse_connection(
+                sock, "no place for this connection", self.maker.settings.max_retry_after
+            )
+            text = f"{name}: {len(self.clients)} connections are open, {count} of its calls are refused"
+            self.log("too-many-clients", text)
+        finally:
+            self.refused_connections -= 1
+            self.ends.record(name, EndReason.PLACE, (), "")
+            self.ends.close(sock)
+            self.try_send(ConnectionRefused())
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
@@ -206,7 +229,7 @@
         self.log(
             "memory-pressure", f"{previous.name.lower()} to {level.name.lower()}: {self.memory.describe()}"
         )
-        if level >= Pressure.CLOSING:
+        if level >= Pressure.RELIEVING:
             self.try_send(RelieveMemory())
 
     def is_full(self) -> bool:
@@ -228,11 +251,11 @@
     def run(self) -> None:
         swept = now_ms()
         while not self.finished:
-            is_short = self.waiting or self.memory.pressure >= Pressure.CLOSING
+            is_short = self.waiting or self.stopping or self.memory.pressure >= Pressure.RELIEVING
             self.wait_for_message(RELIEF_MS if is_short else self.limits.sweep_ms)
             self.process_mailbox()
             self.admit_waiting()
-            if self.memory.pressure >= Pressure.CLOSING:
+            if self.memory.pressure >= Pressure.RELIEVING:
                 self.relieve_memory()
             now = now_ms()
             self.pauses.record_wake(now)
@@ -243,6 +266,8 @@
                 for client in [c for c in self.clients if c.is_stale(now, self.pauses.resumed_at)]:
                     self.log("client-closed", f"{client.client}: idle for too long")
                     self.clients[client] = client.close_if_idle()
+                if self.stopping:
+                    self.refuse_loud_clients()
                 self.transfer_clients()
 
     def transfer_clients(self) -> None:
@@ -251,10 +276,16 @@
             for client in [client for client, leaving in self.clients.items() if not leaving]:
                 self.clients[client] = client.try_send(self.transfer_request)
 
-    def close_when_idle(self, client: ClientActor, reason: str) -> None:
+    def close_when_idle(self, client: ClientActor, reason: EndReason) -> None:
         """Close the connection once nothing is open on it."""
-        self.log("client-closed", f"{client.client}: {reason}")
-        self.clients[client] = client.try_send(CloseIfIdle())
+        self.log("client-closed", f"{client.client}: {reason.value}")
+        self.clients[client] = client.try_send(CloseIfIdle(reason))
+
+    def refuse_loud_clients(self) -> None:
+        """Refuse what clients sent faster than they may, and what is still unread as the process ends."""
+        now = now_ms()
+        for client in [client for client in self.clients if client.sends_too_many_lines(now)]:
+            client.try_send(GiveWay(EndReason.STOPPING))
 
     def receive(self, message: Any) -> None:
         match message:
@@ -263,8 +294,7 @@
             case ClientClosed(client):
                 self.forget_client(client)
             case CloseIdleClient():
-                if not self.close_stalled_client("a new connection needs its place"):
-                    self.close_idle_client()
+                self.make_place()
             case RelieveMemory():
                 self.relieve_memory()
             case TransferClients(transfer) if not self.stopping:
@@ -281,7 +311,8 @@
                 self.finished = acceptor.fileno() >= 0
             case StopListening():
                 self.stop_listening()
-        if self.stopping and not (self.clients or self.waiting or self.mailbox or self.running_acceptors):
+        is_busy = self.clients or self.waiting or self.running_acceptors or self.refused_connections
+        if self.stopping and not (is_busy or self.mailbox):
             self.all_closed.set()
 
     def stop_listening(self) -> None:
@@ -293,7 +324,7 @@
             self.listening.close()
         self.transfer_clients()
         for client in [c for c, leaving in self.clients.items() if not leaving]:
-            self.close_when_idle(client, "the process stops")
+            self.close_when_idle(client, EndReason.STOPPING)
 
     def accept_backlog(self) -> None:
         """Accept the connections in the kernel's backlog, which a close would reset.
@@ -323,13 +354,13 @@
         if len(self.clients) - sum(self.clients.values()) >= self.soft_limit:
             self.close_idle_client()
         if len(self.clients) >= self.hard_limit or self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
-            self.close_stalled_client("a new connection needs its place")
+            self.close_stalled_client()
         if len(self.clients) >= self.hard_limit:
             self.refuse_connection(sock, name)
             return
         if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
             self.log("connection-waits", f"{name}: {self.memory.describe()}")
-            self.waiting.append(ConnectionAccepted(sock, name, served_before))
+            self.waiting.append(ConnectionAccepted(sock, name, served_before, now_ms()))
             return
         client = ClientActor(
             sock,
@@ -341,17 +372,22 @@
             lambda c: self.blocking_send(ClientClosed(c)),
             self.pauses,
             self.turns,
+            self.ends,
         )
         self.clients[client], client.has_sent_line = False, served_before
         client.start()
         if self.stopping:
-            self.close_when_idle(client, "the process stops")
+            self.close_when_idle(client, EndReason.STOPPING)
 
     def admit_waiting(self) -> None:
         """Serve the accepted connections that waited for memory, as far as there is some now."""
         for _ in range(len(self.waiting)):
             if self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
-                return
+                if now_ms() - self.waiting[0].accepted_at < MAX_PLACE_WAIT_MS:
+                    return
+                accepted = self.waiting.popleft()
+                self.refuse_connection(accepted.sock, accepted.name)
+                continue
             accepted = self.waiting.popleft()
             self.add_client(accepted.sock, accepted.name, accepted.served_before)
 
@@ -362,40 +398,48 @@
         self.client_closed.set()
 
     def relieve_memory(self) -> None:
-        """Close stalled clients, those that hold most first, then idle ones, until the memory suffices.
+        """Refuse partial lines, those that hold most first, until the memory suffices.
 
-        Before new calls are refused, the client gives way that holds most for a request that is not complete.
+        Stalled ones come first; before new calls are refused, so does one that is only large.
         """
-        while self.memory.pressure >= Pressure.CLOSING and self.close_stalled_client("the memory is short"):
-            pass
-        if self.memory.pressure >= Pressure.CLOSING:
+        now = now_ms()
+        waiting = {c: size for c in self.clients if not c.finished and (size := c.waiting_bytes())}
+        for client in sorted(waiting, key=waiting.__getitem__, reverse=True):
+            is_large = self.memory.pressure >= Pressure.REFUSING and waiting[client] > MIN_INPUT_BYTES
+            if is_large or client.stalled_bytes(now):
+                client.try_send(RefusePartialLine())
+                return
+        self.close_idle_client()
+
+    def make_place(self) -> None:
+        """Have a client give way to a new connection: one that has stalled, sends too much, or is idle."""
+        if not self.close_stalled_client():
+            self.ask_loud_client()
             self.close_idle_client()
-        if self.memory.pressure >= Pressure.REFUSING:
-            self.close_largest_partial()
 
-    def close_stalled_client(self, reason: str) -> bool:
+    def close_stalled_client(self) -> bool:
         """Close the client that holds most without moving on; return whether there was one."""
         now = now_ms()
         stalled = {c: size for c in self.clients if not c.finished and (size := c.stalled_bytes(now))}
-        if not stalled:
-            return False
-        client = max(stalled, key=stalled.__getitem__)
-        self.close_client(client, f"{reason}; {stalled[client]} bytes stand still")
-        return True
-
-    def close_largest_partial(self) -> None:
-        """Close the client that holds most for an incomplete request, if that is more than usual."""
-        waiting = {client: client.waiting_bytes() for client in self.clients if not client.finished}
-        if waiting and max(waiting.values()) > MIN_INPUT_BYTES:
-            client = max(waiting, key=waiting.__getitem__)
-            self.close_client(client, f"the memory is short; {waiting[client]} bytes wait for their rest")
+        for client in sorted(stalled, key=stalled.__getitem__, reverse=True):
+            if client.may_end(EndReason.PLACE):
+                self.close_client(client, f"{stalled[client]} bytes stand still")
+                return True
+        return False
+
+    def ask_loud_client(self) -> None:
+        """Have the client with the most unhandled input give way among those that send more than they may."""
+        now = now_ms()
+        loud = [client for client in self.clients if client.sends_too_many_lines(now)]
+        if loud:
+            max(loud, key=lambda client: client.charged_input).try_send(GiveWay(EndReason.PLACE))
 
     def close_client(self, client: ClientActor, reason: str) -> None:
         """Close a client that is owed no answer, and give back what it held."""
-        self.log("client-closed", f"{client.client}: {reason}")
-        client.end_connection(reason)
-        client.drop_input()
-        self.forget_client(client)
+        self.log("client-closed", f"{client.client}: a new connection needs its place; {reason}")
+        if client.end_connection(EndReason.PLACE, reason):
+            client.drop_input()
+            self.forget_client(client)
 
     def close_idle_client(self) -> None:
         """Close the client that has been idle longest, unless it has a partial line.
@@ -407,4 +451,4 @@
         staying = [c for c, leaving in self.clients.items() if not leaving and not c.partial]
         idle = {c: q for c in staying if (q := c.idle_ms(now)) is not None}
         if idle and max(idle.values()) > self.limits.client_fresh_ms:
-            self.close_when_idle(max(idle, key=idle.__getitem__), "a new connection needs its place")
+            self.close_when_idle(max(idle, key=idle.__getitem__), EndReason.PLACE)
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import re
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -13,10 +14,15 @@
 
 CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 GIVE_UP_METHOD = "giveUp"
-CALL_MEMBER = b"method"  # in each call
+CALL_MEMBER, ID_MEMBER = b"method", b'"id"'  # in each call
 MAX_INPUT_BYTES = 64 * 1024  # more than a receive buffer holds
 
 
+def may_want_answer(line: bytes) -> bool:
+    """Return whether a line may be a call, or have an id under which an answer is due."""
+    return CALL_MEMBER in line or ID_MEMBER in line
+
+
 def call_id(line: bytes) -> int | None:
     """Return the id under which a line wants an answer, if any."""
     try:
@@ -26,12 +32,9 @@
     return None if message.method == GIVE_UP_METHOD else message.id
 
 
-def refused_ids(data: bytes) -> list[int]:
-    """Return the ids of the calls in these lines and of the one that begins behind them, each once."""
-    *lines, rest = data.split(b"\n")
-    start = CALL_START.match(rest)
-    ids = [*map(call_id, lines), int(start[1]) if start is not None else None]
-    return list(dict.fromkeys(id for id in ids if id is not None))
+def refused_ids(lines: Iterable[bytes]) -> list[int]:
+    """Return the ids of the calls in these lines, each once."""
+    return list(dict.fromkeys(id for id in map(call_id, lines) if id is not None))
 
 
 def encode_refusal(id: int, reason: str, backoff_ms: float) -> bytes:
@@ -43,11 +46,12 @@
 
 
 def refuse_connection(sock: socket.socket, reason: str, backoff_ms: float) -> int:
-    """Refuse the calls that were received on a connection without an actor, and close it; return how many."""
+    """Refuse the calls that were received on a connection without an actor; return how many."""
     ids: list[int] = []
     sock.settimeout(0)
     with contextlib.suppress(OSError):
-        ids = refused_ids(sock.recv(MAX_INPUT_BYTES))
+        *lines, rest = sock.recv(MAX_INPUT_BYTES).split(b"\n")
+        start = CALL_START.match(rest)
+        ids = refused_ids(lines) + ([int(start[1])] if start is not None else [])
         sock.send(b"".join(encode_refusal(id, reason, backoff_ms) for id in ids))
-    sock.close()
     return len(ids)
--- a/harrieryoke/net/unread.py
+++ b/harrieryoke/net/unread.py
@@ -88,6 +88,19 @@
     return data
 
 
+def read_now(sock: socket.socket, size: int) -> bytes:
+    """Read what has arrived, `size` bytes at most; nothing if there is none or the connection has ended."""
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        data: bytes = sock.recv(size)
+    except OSError:
+        return b""
+    finally:
+        sock.settimeout(timeout)
+    return data
+
+
 def given_up_id(message: Message, open_ids: Iterable[tuple[int, str]]) -> int | None:
     """Return the id that a `giveUp` names; `open_ids` are the ids of open calls and their request ids.
 
--- a/tests/overload.py
+++ b/tests/overload.py
@@ -534,6 +534,7 @@
         for process in processes:
             process.kill()
             process.wait()
+        assert " end-fault " not in self.log()
 
 
 def main() -> None:
