Refuse all calls of a connection without a place before it ends, not only those read first

Callers saw: where all places are taken, a client that sends more than one read takes gets a reset in place of refusals.

Cause: such a connection was read once, without waiting, and closed. A close over unread bytes makes the kernel reset the connection, which also takes the refusals away that the client has not read yet; a call that came a moment later was not answered at all.

--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -28,6 +28,7 @@
 from .refusal import refuse_connection
 from .unread import ms_since_data
 
+MAX_REFUSED_CONNECTIONS = 64  # whose calls are refused at a time
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
 
@@ -191,9 +192,12 @@
         return True
 
     def refuse_connection(self, sock: socket.socket, name: str) -> None:
-        """Refuse the calls of a connection that gets no place."""
+        """Refuse the calls of a connection that gets no place, in a greenlet of its own."""
         self.refused_connections += 1
-        self.run_refusal(sock, name)
+        if self.refused_connections > MAX_REFUSED_CONNECTIONS:
+            self.run_refusal(sock, name)
+        else:
+            spawn(self.log, f"refusal {name}", lambda: self.run_refusal(sock, name))
 
     def run_refusal(self, sock: socket.socket, name: str) -> None:
         """Refuse the calls of a connection until no more come, and close it."""
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -37,7 +37,7 @@
 from harrieryoke.net.memory_monitor import REPORT_MS, MemoryMonitor
 from harrieryoke.net.platform import limit_buffers
 
-from .clients import Front, NullLog, connected, line, until
+from .clients import TIMEOUT_S, Front, NullLog, connected, line, until
 from .overload import BUDGET_MS
 from .scenario import Scene
 from .test_host_crossings import SteppedHost
@@ -295,6 +295,24 @@
         sock.close()
 
 
+# Guards against calls of a connection without a place that are lost behind those that were read first.
+def test_all_calls_of_a_connection_without_a_place_are_refused_before_it_ends() -> None:
+    front = Front()
+    front.core.memory.resize(3_000_000)
+    places = front.front.hard_limit
+    held = [front.connect(line(n)) for n in range(places)]
+    until(lambda: len(front.core.calls) == places, "all places are taken")
+    ids = range(9000, 9600)  # more than the first read takes
+    with closing(socket.create_connection(front.address)) as late:
+        late.settimeout(TIMEOUT_S)
+        sending = gevent.spawn(late.sendall, b"".join(map(line, ids)))
+        answers = [json.loads(text) for text in late.makefile("rb")]
+        assert sending.successful()
+    assert [(answer["id"], answer["error"]["code"]) for answer in answers] == [(id, REFUSED) for id in ids]
+    for sock in held:
+        sock.close()
+
+
 # Guards against a close with open calls that the log omits, or tells nothing of.
 def test_each_close_with_open_calls_is_logged(capsys: pytest.CaptureFixture[str]) -> None:
     log = Log("n0", lines_per_s=1)
