Count what is remembered of functions in the account, and shrink it first while the memory is short

Callers saw: the account stood at 2 of 28 MB beside 44 MB resident, and clients gave way for what none of them held.

Cause: the table of functions was kept back from the budget and counted in the measured size all the same, so that a table within its own bound raised the pressure; and while the memory was short it kept its size.

The router tells what its functions take; the account shows it as owner 'functions', and up to the bound of the table it is no use of the budget. Memory that the table took once stays with the process, so its largest size counts. The new event MemoryPressureChanged has the router halve the table, 64 functions a round, those of a single request first; test_functions_give_way_while_the_memory_is_short_and_may_come_back and test_functions_within_their_own_memory_are_no_use_of_the_budget are new (neither event nor owner existed before).

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -12,7 +12,7 @@
 from .. import interface as i
 from ..limits import Limits
 from ..log import Log
-from ..memory_budget import MemoryBudget, Owner, request_size
+from ..memory_budget import MemoryBudget, Owner, Pressure, request_size
 from ..router import Router
 from .actor import Actor
 from .arrivals import ArrivalQueue
@@ -67,6 +67,7 @@
         self.wall_clock = WallClockWatch()
         self.logged_hosts_out = 0  # value last logged
         self.logged_list_current = True  # value last logged
+        self.memory_is_short = False  # as the router knows it
         self.last_confirmation: i.ListConfirmed | None = None
         self.host_ports: dict[int, HostPort] = {}
         self.host_names: dict[int, str] = {}  # of the workers in `host_ports`
@@ -225,7 +226,9 @@
         events += [e for t in self.table.expire_tasks(now) if (e := self.event_for(t, now)) is not None]
         while self.timers and self.timers[0][0] <= now:
             events.append(i.TimerFired(heappop(self.timers)[1]))
+        events += self.memory_events()
         self.run_router(now, events)
+        self.memory.record_functions(self.router.memory_bytes(), int(self.settings.function_bytes))
         if self.metrics.watched and not 0 <= now - self.avoided_counted_at < self.limits.recount_ms:
             self.avoided_counted_at, self.metrics.avoided = now, self.count_avoided()
         if self.pending_commands:
@@ -237,6 +240,14 @@
             self.table.refuse_by_default(entry)
             self.pending_events.append(i.RequestDropped(entry.number))
 
+    def memory_events(self) -> list[i.Event]:
+        """Return the event for the router if the memory has become short, or no longer is."""
+        is_short = self.memory.pressure is not Pressure.NONE
+        if is_short == self.memory_is_short:
+            return []
+        self.memory_is_short = is_short
+        return [i.MemoryPressureChanged(is_short)]
+
     def count_avoided(self) -> int:
         """Count the listed model hosts that accept calls but are excluded by the router."""
         router = self.router
@@ -273,6 +284,7 @@
         for task in list(self.table.ports_by_task):
             self.table.cancel_task(task, i.Outcome.CANCELLED)
         self.seed += 1
+        self.memory_is_short = False  # the new router learns of it in the next round
         self.router, self.timers = Router(self.settings, self.seed), []
         # the new router does not know of earlier orders
         self.orders_allowed_from = now + self.settings.order_limit_window
--- a/harrieryoke/function_table.py
+++ b/harrieryoke/function_table.py
@@ -10,10 +10,10 @@
 FUNCTION_BYTES = 2000  # of the record of a function, without its placement order
 PLACE_BYTES = 8  # of one worker in the placement order of a function
 FORGOTTEN_AT_ONCE = 2  # for one new function, so that a table that has become too large shrinks
-LOOKED_AT = 8  # functions that one arrival looks at in search of unused ones
-USED_ONCE_SHARE = (
-    1 / 4
-)  # of the table that functions of a single request may take before others are forgotten
+LOOKED_AT = 8  # further functions that are looked at in search of unused ones
+USED_ONCE_SHARE = 1 / 4  # of the table, which functions of a single request may take before others go
+SHORT_MEMORY_SHARE = 1 / 2  # of the table that is kept while the memory is short
+FORGOTTEN_IN_ROUND = 64  # while the table is larger than that
 FORGET_KEEP_ALIVES = 8.0  # keep-alives without use until a function is forgotten
 
 
@@ -38,23 +38,39 @@
     So a client that calls ever new names displaces its own. Functions with a waiting request, an attempt or
     an order in progress stay; the bounds on open requests and on orders bound them.
     """
+    limit = allowed_functions(state, settings)
+    if len(state.functions) >= limit:
+        forget_cheapest(state, limit, FORGOTTEN_AT_ONCE)
+
+
+def shrink(state: RoutingState, settings: Settings) -> None:
+    """Forgets a part of the functions beyond the limit, as `make_room` does; for each round of events."""
+    limit = allowed_functions(state, settings)
+    if (excess := len(state.functions) - limit) > 0:
+        forget_cheapest(state, limit, min(excess, FORGOTTEN_IN_ROUND))
+
+
+def allowed_functions(state: RoutingState, settings: Settings) -> int:
+    """Returns how many functions may be remembered now."""
     limit = max_functions(settings, len(state.workers))
-    if len(state.functions) < limit:
-        return
-    first = state.used_once if len(state.used_once) >= limit * USED_ONCE_SHARE else state.functions
-    forgotten = forget_oldest(state, first)
-    if not forgotten:
-        forget_oldest(state, state.functions)
+    return max(1, int(limit * SHORT_MEMORY_SHARE)) if state.memory_is_short else limit
+
+
+def forget_cheapest(state: RoutingState, limit: int, count: int) -> None:
+    """Forgets so many functions at most: of a single request while these have more than their share."""
+    many_used_once = len(state.used_once) >= limit * USED_ONCE_SHARE
+    if not (many_used_once and forget_oldest(state, state.used_once, count)):
+        forget_oldest(state, state.functions, count)
 
 
-def forget_oldest(state: RoutingState, table: dict[str, Function]) -> int:
-    """Forgets the first functions of `table` that are not in use, and returns how many.
+def forget_oldest(state: RoutingState, table: dict[str, Function], count: int) -> int:
+    """Forgets so many of the first functions of `table` that are not in use, and returns how many it were.
 
-    Those in use that are met first are put at the end: the next arrival looks at others.
+    Those in use that are met first are put at the end: the next call looks at others.
     """
     forgotten = 0
-    for name in list(islice(table, LOOKED_AT)):
-        if forgotten == FORGOTTEN_AT_ONCE:
+    for name in list(islice(table, count + LOOKED_AT)):
+        if forgotten == count:
             break
         function = table[name]
         if function.in_use():
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -313,6 +313,13 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPressureChanged:
+    """The memory has become short, or no longer is: what is remembered has to shrink, or may grow again."""
+
+    is_short: bool
+
+
 Event = (
     WorkersListed
     | ListConfirmed
@@ -326,6 +333,7 @@
     | PeerMessage
     | PrewarmRequested
     | SettingsChanged
+    | MemoryPressureChanged
 )
 
 
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -5,6 +5,9 @@
 (`Pressure`): clients that hold more than their share are no longer read; the calls of stalled partial lines
 are refused; new calls are refused. A part is kept for answers to calls that were taken. No I/O and no clock.
 
+What is remembered of functions is bounded by a table of its own, which the router shrinks while the memory is
+short; its bytes are shown among the others.
+
 The charges are constants, so what the process really takes is measured beside them (`measure_with`): resident
 memory and socket buffers beyond the bare process count like charges, whichever is more.
 """
@@ -38,6 +41,7 @@
     FRAMES = "frames"  # read from model hosts and not yet given to a client
     ANSWERS = "answers"  # given to a client's socket and not accepted by it
     LISTS = "lists"  # partial lines of the event bus
+    FUNCTIONS = "functions"  # what the router remembers of them; has memory of its own beside the budget
 
 
 MAY_USE_RESERVE = frozenset({Owner.FRAMES, Owner.ANSWERS, Owner.LISTS})
@@ -82,6 +86,7 @@
         self.read_resident: Callable[[], int] | None = None
         self.base = 0  # bytes of the bare process, which are no use of the budget
         self.charged_since_reading = 0
+        self.functions_peak = 0  # bytes; memory that functions took once stays with the process
         self.resize(total)
 
     def resize(self, total: int) -> None:
@@ -101,11 +106,17 @@
             self.sizes.resident = self.read_resident()
             self.update_pressure()
 
+    def record_functions(self, size: int, limit: int) -> None:
+        """Record what is remembered of functions; up to `limit` bytes that is no use of the budget."""
+        self.used[Owner.FUNCTIONS] = size
+        self.functions_peak = min(max(self.functions_peak, size), limit)
+
     def held(self) -> int:
         """Return how much of the budget is in use: what is charged or what is measured, whichever is more."""
         if self.read_resident is None:
             return self.used_total
         measured = self.sizes.resident + self.sizes.kernel - self.base + self.charged_since_reading
+        measured -= self.functions_peak
         return max(self.used_total, measured)
 
     def limit(self, owner: Owner) -> int:
--- a/harrieryoke/router.py
+++ b/harrieryoke/router.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from .copy_width import CopyPlacement, adapt_copy_width
-from .function_table import forget_unused, make_room
+from .function_table import forget_unused, make_room, shrink, table_bytes
 from .interface import (
     Action,
     AttemptEnded,
@@ -20,6 +20,7 @@
     Fail,
     FollowList,
     ListConfirmed,
+    MemoryPressureChanged,
     OrderEnded,
     Outcome,
     PrewarmRequested,
@@ -75,6 +76,7 @@
             ProbeEnded: self.on_probe_ended,
             PrewarmRequested: lambda event: self.prewarm_requests.append(event.function),
             SettingsChanged: self.change_settings,
+            MemoryPressureChanged: self.on_memory_pressure_changed,
         }
 
     def change_settings(self, event: SettingsChanged) -> None:
@@ -88,6 +90,10 @@
                 tenant.allowance_per_s / settings.front_ends
             )
 
+    def on_memory_pressure_changed(self, event: MemoryPressureChanged) -> None:
+        """Has functions forgotten while the memory is short."""
+        self.memory_is_short = event.is_short
+
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Processes a round of events and returns the actions to take."""
         self.now, self.actions, self.functions_to_dispatch = now, [], {}
@@ -95,6 +101,7 @@
         for event in events:
             self.handlers.get(type(event), bool)(event)
         self.run_due_tasks()
+        shrink(self, self.settings)
         for function in list(self.functions_to_dispatch.values()):
             self.dispatch(function)
         self.order_missing_copies()
@@ -102,6 +109,10 @@
         self.set_timer()
         return self.actions
 
+    def memory_bytes(self) -> int:
+        """Returns what is remembered of functions takes."""
+        return table_bytes(self)
+
     # --- orders ---
 
     def on_order_ended(self, event: OrderEnded) -> None:
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -203,6 +203,7 @@
         self.used_once: dict[str, Function] = {}  # those that only one request has named, in that order
         self.with_copies: dict[str, Function] = {}  # each that has copies, and some that had
         self.sweep_scheduled = False  # of functions long unused
+        self.memory_is_short = False
         self.requests: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.scheduled: list[tuple[float, int, Callable[[Any], None], Any]] = []  # heap
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -67,6 +67,9 @@
     workers: Mapping[int, Worker] = MappingProxyType({})
     ejected_count = 0
 
+    def memory_bytes(self) -> int:
+        return 0
+
     def __init__(self, *rounds: list[i.Action]) -> None:
         self.rounds, self.events = list(rounds), list[i.Event]()
 
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -12,6 +12,7 @@
 from harrieryoke.interface import (
     AttemptEnded,
     ListScope,
+    MemoryPressureChanged,
     OrderCopies,
     OrderEnded,
     Outcome,
@@ -124,6 +125,23 @@
     assert {"a", "b"} <= names.router.functions.keys() and len(names.router.functions) <= limit
 
 
+# Guards against a table that keeps its size while clients are refused for want of memory.
+def test_functions_give_way_while_the_memory_is_short_and_may_come_back() -> None:
+    names, limit = Names(), max_functions(SMALL, WORKERS)
+    for n in range(2 * limit):
+        names.ask(f"{n:016x}", Outcome.OK, withdrawn=False)
+    assert limit - 1 <= len(names.router.functions) <= limit
+    names.router.handle(names.now, [MemoryPressureChanged(True)])
+    assert len(names.router.functions) == limit // 2
+    for n in range(2 * limit, 3 * limit):
+        names.ask(f"{n:016x}", Outcome.OK, withdrawn=False)
+    assert len(names.router.functions) <= limit // 2 + 1
+    names.router.handle(names.now, [MemoryPressureChanged(False)])
+    for n in range(3 * limit, 5 * limit):
+        names.ask(f"{n:016x}", Outcome.OK, withdrawn=False)
+    assert limit - 1 <= len(names.router.functions) <= limit
+
+
 def count_functions() -> int:
     """Return how many records of functions are alive."""
     return sum(isinstance(each, Function) for each in gc.get_objects())
--- a/tests/test_interleave.py
+++ b/tests/test_interleave.py
@@ -118,6 +118,9 @@
     def __init__(self, worker: int) -> None:
         self.worker, self.events = worker, list[i.Event]()
 
+    def memory_bytes(self) -> int:
+        return 0
+
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         self.events += events
         actions: list[i.Action] = []
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -112,3 +112,16 @@
             out.append(buffer.next_line())
             assert not buffer.is_too_long()
     assert out == lines and buffer.unread() == b"rest" and buffer.has_partial()
+
+
+# Guards against clients that are refused or closed for memory which the table of functions has for itself.
+@given(st.integers(0, 500_000), st.integers(0, 500_000), st.integers(1, 300_000))
+def test_functions_within_their_own_memory_are_no_use_of_the_budget(
+    first: int, then: int, limit: int
+) -> None:
+    budget, resident = MemoryBudget(1_000_000), 50_000 + max(first, then)
+    budget.measure_with(lambda: resident, 50_000)
+    budget.record_functions(first, limit)
+    budget.record_functions(then, limit)
+    assert budget.used[Owner.FUNCTIONS] == then and budget.used_total == 0
+    assert budget.held() == max(0, max(first, then) - limit)
