Let clients that send too many lines give way though errors for these lines wait

Callers saw: beside 330 clients with short lines at 32 MB a usual client gets no place (199 of 220 calls without an answer in 12 s), since connections end only when nothing is owed: each of those has errors unsent.

Cause: errors for lines without an id count as owed answers, and each line that was passed over was handled by itself: draining 2 MB took over a second in one turn.

The state tells answers to calls from other messages; a client gives way if no answer to a call waits. One that could not give way is asked again after the others.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import gevent
 import msgspec
 from gevent import socket
 
@@ -31,6 +32,7 @@
 )
 from .client_presence import ClientPresence
 from .connection_ends import ConnectionEnds
+from .connection_input import QUIET_MS
 from .connection_state import EndReason, Refusal
 from .jsonrpc import (
     BAD_PARAMS,
@@ -53,7 +55,7 @@
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
 STALLED_MS = 250.0  # without progress, after which a client gives way to others
-MAX_DRAINED_BYTES = 4 * 2**20  # that are read of a client which gives way; more than the kernel keeps for it
+MAX_DRAINING_MS = 50.0  # for a client that gives way
 
 
 class ClientActor(ClientPresence):
@@ -82,6 +84,7 @@
         self.deferred: deque[LineReceived] = deque()  # lines that came while answers wait
         self.close_request: CloseIfIdle | None = None
         self.transfer_request: TransferWhenIdle | None = None
+        self.asked_at = float("-inf")  # when the front last asked it to give way
         # answers of ordinary size to all requests that may be open at once, and some long ones
         typical_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_OVERHEAD_BYTES)
         max_bytes = typical_bytes + MAX_LONG_ANSWERS * limits.answer_bytes * 4 // 3
@@ -140,7 +143,7 @@
 
     def idle_ms(self, now: float) -> float | None:
         """Return the time since the last complete line or answer; None while something is open."""
-        return None if self.state.owes(False) or self.mailbox else now - self.last_active
+        return None if self.state.is_busy() or self.mailbox else now - self.last_active
 
     def is_stale(self, now: float, resumed: float) -> bool:
         """Return whether to close the connection to free its descriptor: the client is idle or has stalled.
@@ -251,7 +254,7 @@
                 self.transfer_request = message
             case OutputDrained():
                 self.handle_deferred()
-        if not (self.finished or self.mailbox or self.state.owes(False)):
+        if not (self.finished or self.mailbox or self.state.is_busy()):
             self.close_or_transfer()
 
     def close_or_transfer(self) -> None:
@@ -279,35 +282,52 @@
         request.transfer(sock, self.client)
 
     def give_way(self, reason: EndReason) -> None:
-        """Refuse the calls in what was sent, drop other lines, and end the connection at the input's end."""
-        messages = [*self.deferred, *self.mailbox]
+        """Pass over what was sent, and end the connection if that comes to an end."""
+        messages = [message for message in self.waiting_messages() if not isinstance(message, GiveWay)]
         lines = [message for message in messages if isinstance(message, LineReceived)]
-        others = [message for message in self.mailbox if not isinstance(message, LineReceived)]
-        if others or self.open or self.outgoing.unsent:
+        if len(lines) < len(messages) or self.state.open_ids or self.state.unsent_answers:
             return
         self.deferred.clear()
         self.mailbox.clear()
-        for message in lines:
-            self.pass_over(message.data, message.received_at)
-        drained = 0
-        while drained < MAX_DRAINED_BYTES and not self.finished and not self.outgoing.unsent:
-            while self.unposted and not self.outgoing.unsent:
-                self.pass_over(self.input.next_line(), self.received_at)
-            data = read_now(self.sock, self.limits.line_bytes // 4)
-            if not data:
-                break
-            drained += len(data)
-            self.take_input(data)
-        if self.may_end(reason):
+        self.input.put_back(b"".join(message.data + b"\n" for message in lines))
+        self.state.giving_way_changed(True)
+        drained = self.pass_over_input()
+        self.state.giving_way_changed(False)
+        is_asked_more = any(not isinstance(message, GiveWay) for message in self.mailbox)
+        if not (self.finished or is_asked_more) and self.may_end(reason):
             self.end_connection(reason, f"{drained} bytes were passed over")
 
-    def pass_over(self, data: bytes, received_at: float) -> None:
-        """Refuse a line that may want an answer, and drop it otherwise."""
-        if may_want_answer(data):
-            self.handle_message(LineReceived(data, received_at, Refusal.NO_PLACE))
-        else:
-            self.release_input(len(data) + 1)
-            self.state.line_handled()
+    def pass_over_input(self) -> int:
+        """Pass over what was read and what is unread, until nothing comes or an answer can't be sent.
+
+        Returns how many bytes were read.
+        """
+        drained, give_up_at, was_quiet = 0, now_ms() + MAX_DRAINING_MS, False
+        while not self.finished and now_ms() < give_up_at:
+            if not self.pass_over(self.input.take_lines()):
+                break
+            if data := read_now(self.sock, self.limits.line_bytes // 4):
+                drained += len(data)
+                was_quiet = False
+                self.take_input(data)
+            elif was_quiet:
+                break
+            else:
+                # more may be on its way
+                was_quiet = True
+                gevent.sleep(QUIET_MS / 1000)
+        return drained
+
+    def pass_over(self, lines: bytes) -> bool:
+        """Refuse the lines that may want an answer, and drop others; return False if an answer waits then."""
+        if may_want_answer(lines):
+            waiting, lines = deque(lines.split(b"\n")[:-1]), b""
+            while waiting and not self.state.unsent_answers:
+                self.handle_message(LineReceived(waiting.popleft(), self.received_at, Refusal.NO_PLACE))
+            self.input.put_back(b"".join(line + b"\n" for line in waiting))
+        self.release_input(len(lines))
+        self.state.line_handled(lines.count(b"\n"))
+        return not self.state.unsent_answers
 
     # --- lines ---
 
@@ -451,7 +471,7 @@
             self.log("answer-replaced", f"{call.request_id}: {self.outgoing.unsent_bytes} bytes are unsent")
             line = encode_reply({"id": id, "error": self.error_of(self.no_room_error(call))})
         call.answer_reservation = None  # what is not accepted at once is charged as unsent
-        self.outgoing.put(line)
+        self.outgoing.put(line, is_answer=True)
 
     def no_room_error(self, call: Call) -> BadRequestError:
         """Return the error for an answer that finds no room; the call has run."""
@@ -460,7 +480,7 @@
         return BadRequestError(code, "no room for the answer: those before it are not read")
 
     def write(self, reply: dict[str, Any]) -> None:
-        self.outgoing.put(encode_reply(reply))
+        self.outgoing.put(encode_reply(reply), is_answer=reply.get("id") is not None)
 
 
 def encode_reply(reply: dict[str, Any]) -> bytes:
--- a/harrieryoke/net/connection_state.py
+++ b/harrieryoke/net/connection_state.py
@@ -49,13 +49,23 @@
 class ConnectionState:
     """What a connection owes its client, told by events."""
 
-    __slots__ = ("ended", "has_partial", "lines", "open_ids", "unsent_bytes")
+    __slots__ = (
+        "ended",
+        "has_partial",
+        "is_giving_way",
+        "lines",
+        "open_ids",
+        "unsent_answers",
+        "unsent_bytes",
+    )
 
     def __init__(self) -> None:
         self.open_ids: set[int] = set()  # of calls that were handled and have no answer
         self.lines = 0  # read whole and not handled
         self.has_partial = False  # a line has begun that is not refused
-        self.unsent_bytes = 0  # of answers that the kernel has not accepted
+        self.unsent_bytes = 0  # that the kernel has not accepted
+        self.unsent_answers = 0  # among them, to calls; errors for lines without an id are none
+        self.is_giving_way = False  # what it sent is passed over, and it ends if that comes to an end
         self.ended: EndReason | None = None
 
     # --- events ---
@@ -64,10 +74,10 @@
         """The connection has so many more lines that are not handled."""
         self.lines += count
 
-    def line_handled(self) -> None:
-        """One of them was handled or refused."""
-        assert self.lines > 0, "a line was handled that was not read"
-        self.lines -= 1
+    def line_handled(self, count: int = 1) -> None:
+        """One of them was handled or refused, or so many were."""
+        assert count <= self.lines, "a line was handled that was not read"
+        self.lines -= count
 
     def partial_changed(self, has_partial: bool) -> None:
         """A line has begun, or the last one is whole or refused."""
@@ -81,9 +91,13 @@
         """The call was answered, or its client gave it up."""
         self.open_ids.remove(id)
 
-    def unsent_changed(self, size: int) -> None:
-        """So many bytes of answers wait for the kernel."""
-        self.unsent_bytes = size
+    def unsent_changed(self, size: int, answers: int) -> None:
+        """So many bytes wait for the kernel, and so many answers to calls are among them."""
+        self.unsent_bytes, self.unsent_answers = size, answers
+
+    def giving_way_changed(self, is_giving_way: bool) -> None:
+        """The connection gives way to others, or could not."""
+        self.is_giving_way = is_giving_way
 
     def connection_ended(self, reason: EndReason) -> None:
         """The connection has ended: nothing is read, handled or written any more."""
@@ -94,11 +108,11 @@
 
     def may_read(self) -> bool:
         """Return whether to read on: while answers wait, the kernel's window slows the client down."""
-        return self.ended is None and not self.unsent_bytes
+        return self.ended is None and not self.unsent_bytes and not self.is_giving_way
 
     def may_handle(self) -> bool:
         """Return whether the next line may be handled, which may add an answer to those that wait."""
-        return self.ended is None and not self.unsent_bytes
+        return self.may_read()
 
     def must_refuse(self, waited_ms: float) -> bool:
         """Return whether to refuse what is read, as it has waited so long for memory."""
@@ -106,7 +120,11 @@
 
     def owes(self, has_unread: bool) -> bool:
         """Return whether a call may be without a whole answer; `has_unread`: the kernel holds input."""
-        return bool(self.open_ids or self.lines or self.unsent_bytes or has_unread)
+        return bool(self.open_ids or self.lines or self.unsent_answers or has_unread)
+
+    def is_busy(self) -> bool:
+        """Return whether something is left to do for the client, whether or not it is owed."""
+        return bool(self.unsent_bytes) or self.owes(False)
 
     def may_end(self, reason: EndReason, has_unread: bool) -> bool:
         """Return whether the connection may end for this reason. A partial line is no call yet."""
--- a/harrieryoke/net/line_buffer.py
+++ b/harrieryoke/net/line_buffer.py
@@ -41,6 +41,19 @@
         self.line_end = self.data.find(b"\n")
         return line
 
+    def take_lines(self) -> bytes:
+        """Remove all complete lines and return them with their line feeds."""
+        end = self.data.rfind(b"\n") + 1
+        lines = bytes(self.data[:end])
+        del self.data[:end]
+        self.line_end = -1
+        return lines
+
+    def put_back(self, lines: bytes) -> None:
+        """Put lines, with their line feeds, before those that wait."""
+        self.data[:0] = lines
+        self.line_end = self.data.find(b"\n")
+
     def clear(self) -> None:
         """Discard all bytes."""
         self.data, self.line_end = bytearray(), -1
--- a/harrieryoke/net/outgoing.py
+++ b/harrieryoke/net/outgoing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 from gevent import socket
@@ -17,6 +18,14 @@
 SMALL_MESSAGE_BYTES = 1024  # errors; the bound on open calls bounds how many may wait
 
 
+@dataclass(slots=True)
+class UnsentMessage:
+    """What the kernel has not accepted of a message; `is_answer`: to a call."""
+
+    data: bytes
+    is_answer: bool
+
+
 def ignore_callback(*_: object) -> None:
     """Stands in for the callbacks of a closed queue."""
 
@@ -61,7 +70,7 @@
         self.sock, self.name, self.log = sock, name, log
         self.on_drained, self.on_failed = on_drained, on_failed
         self.max_bytes = max_bytes
-        self.unsent: list[bytes] = []
+        self.unsent: list[UnsentMessage] = []
         self.writer: gevent.Greenlet | None = None
         self.closed = False
 
@@ -79,8 +88,8 @@
             return True
         return self.unsent_bytes + size <= min(self.max_bytes, self.memory.fair_share())
 
-    def put(self, data: bytes) -> None:
-        """Write the message after those put before."""
+    def put(self, data: bytes, is_answer: bool) -> None:
+        """Write the message after those put before; `is_answer`: it answers a call."""
         if self.closed:
             return
         if not self.unsent and (data := self.send_now(data)) == b"":
@@ -88,8 +97,8 @@
         if self.closed:
             return
         self.memory.charge(Owner.ANSWERS, len(data))
-        self.unsent.append(data)
-        self.state.unsent_changed(self.unsent_bytes + len(data))
+        self.unsent.append(UnsentMessage(data, is_answer))
+        self.count_unsent(len(data), is_answer)
         if self.writer is None:
             self.writer = spawn(self.log, f"{self.name} writer", self.run_writer)
 
@@ -103,16 +112,21 @@
             self.fail(error)
             return b""
 
+    def count_unsent(self, size: int, answers: int) -> None:
+        """Count bytes, and answers among them, that have come or gone."""
+        state = self.state
+        state.unsent_changed(state.unsent_bytes + size, state.unsent_answers + answers)
+
     def send_first(self) -> None:
-        data = self.unsent[0]
-        count = self.sock.send(data)
+        message = self.unsent[0]
+        count = self.sock.send(message.data)
         if self.closed:
             return
-        self.state.unsent_changed(self.unsent_bytes - count)
         self.memory.release(Owner.ANSWERS, count)
-        if count < len(data):
-            self.unsent[0] = data[count:]
-        else:
+        message.data = message.data[count:]
+        is_whole = not message.data
+        self.count_unsent(-count, -int(is_whole and message.is_answer))
+        if is_whole:
             self.unsent.pop(0)
 
     def run_writer(self) -> None:
@@ -148,5 +162,5 @@
         self.closed = True
         self.memory.release(Owner.ANSWERS, self.unsent_bytes)
         self.unsent.clear()
-        self.state.unsent_changed(0)
+        self.state.unsent_changed(0, 0)
         self.on_drained = self.on_failed = ignore_callback
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -431,11 +431,16 @@
         return False
 
     def ask_loud_client(self) -> None:
-        """Have the client with the most unhandled input give way among those that send more than they may."""
+        """Have the client with the most unhandled input give way among those that send more than they may.
+
+        One that could not, as calls are open or answers wait, is asked again after the others.
+        """
         now = now_ms()
         loud = [client for client in self.clients if client.sends_too_many_lines(now)]
         if loud:
-            max(loud, key=lambda client: client.charged_input).try_send(GiveWay(EndReason.PLACE))
+            client = min(loud, key=lambda client: (client.asked_at, -client.charged_input))
+            client.asked_at = now
+            client.try_send(GiveWay(EndReason.PLACE))
 
     def close_client(self, client: ClientActor, reason: str) -> None:
         """Close a client that is owed no answer, and give back what it held."""
--- a/tests/test_connection_state.py
+++ b/tests/test_connection_state.py
@@ -78,17 +78,17 @@
         assert not self.unsent, "refused while answers wait"
         self.unsent.append(self.read.pop(0))
         self.state.line_handled()
-        self.state.unsent_changed(len(self.unsent))
+        self.state.unsent_changed(len(self.unsent), len(self.unsent))
 
     def answer(self) -> None:
         line = self.open.pop()
         self.state.call_closed(line)
         self.unsent.append(line)
-        self.state.unsent_changed(len(self.unsent))
+        self.state.unsent_changed(len(self.unsent), len(self.unsent))
 
     def accept(self) -> None:
         self.owed.remove(self.unsent.pop(0))
-        self.state.unsent_changed(len(self.unsent))
+        self.state.unsent_changed(len(self.unsent), len(self.unsent))
 
     def end(self, reason: EndReason) -> None:
         if self.state.may_end(reason, bool(self.unread)):
@@ -131,20 +131,28 @@
         raise AssertionError("not found")
 
 
-@given(st.sets(st.integers(1, 9)), st.integers(0, 9), st.integers(0, 9), st.booleans(), st.booleans())
+@given(
+    st.sets(st.integers(1, 9)),
+    st.integers(0, 9),
+    st.integers(0, 9),
+    st.integers(0, 9),
+    st.booleans(),
+    st.booleans(),
+)
 def test_each_reason_may_owe_or_waits_for_all_answers(
-    open_ids: set[int], lines: int, unsent: int, has_unread: bool, has_partial: bool
+    open_ids: set[int], lines: int, unsent: int, errors: int, has_unread: bool, has_partial: bool
 ) -> None:
     state = ConnectionState()
     for id in open_ids:
         state.call_opened(id)
     state.lines_read(lines)
-    state.unsent_changed(unsent)
+    state.unsent_changed(unsent + errors, unsent)
     state.partial_changed(has_partial)
     owes = bool(open_ids or lines or unsent or has_unread)
     for reason in EndReason:
         assert state.may_end(reason, has_unread) == (not owes or MAY_OWE[reason])
-    assert state.may_read() == state.may_handle() == (unsent == 0)
+    assert state.may_read() == state.may_handle() == (unsent + errors == 0)
+    assert state.is_busy() == bool(open_ids or lines or unsent or errors)
     assert state.must_refuse(MAX_MEMORY_WAIT_MS + 1) and not state.must_refuse(MAX_MEMORY_WAIT_MS)
 
 
