Give new connections with a whole short call the next free place, before those that send slowly

Cause: the kernel's queue is in order of arrival, and the acceptor held one connection at a time until it had a place.

Accepted connections wait in the process, as many as half of the backlog, without an actor; their buffers are measured like others'. The next place goes to the first one whose first line has come whole and looks like a call. One that waits for 2.5 s is refused, those with short calls first, 32 at a time; the refusal skims the lines, so that long ones cost no memory and are answered by their ids. As many clients are asked to give way as connections wait, not one each 100 ms. A client without memory for its lines waits 500 ms once, and not for each line, until a line of it was taken. An end that finds bytes which came just now does not happen, and is no fault.

--- a/harrieryoke/limits.py
+++ b/harrieryoke/limits.py
@@ -119,6 +119,10 @@
         """Return what the kernel may hold for the connections that it accepts ahead of the process."""
         return 2 * self.backlog() * self.receive_buffer_bytes()
 
+    def pending_connections(self) -> int:
+        """Return how many accepted connections may wait in the process for a place."""
+        return self.backlog() // 2
+
     def backlog(self) -> int:
         """Return how many connections the kernel accepts ahead of the process."""
         wanted = min(max(self.budget_bytes() // BACKLOG_ENTRY_BYTES, MIN_BACKLOG), MAX_BACKLOG)
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -164,13 +164,15 @@
         """End the connection at once, ahead of the messages in the mailbox, if this reason allows it.
 
         Lines that are not yet handled are dropped, nothing more is written, and no attempt may start for an
-        open call. Returns False, and reports a fault, if calls are owed that may not be owed.
+        open call. Returns False if calls are owed that may not be owed. That is a fault, unless they have
+        come just now.
         """
         if self.finished:
             return True
         owed = self.owed_calls()
         if reason is not EndReason.FAULT and not self.may_end(reason):
-            self.ends.report_fault(self.client, reason, owed, f"not ended: {detail}")
+            if not self.state.may_end(reason, has_unread=False):
+                self.ends.report_fault(self.client, reason, owed, f"not ended: {detail}")
             return False
         self.stop_serving(reason, owed, detail)
         return True
--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -56,6 +56,7 @@
         self.skimmer: LineSkimmer | None = None  # takes the rest of a line that is refused
         self.skimmed_for = Refusal.NO_MEMORY
         self.refuses_input = False  # there is no memory to read what it sends
+        self.short_since: float | None = None  # it waits for memory, and no line was taken since
         self.received_at = 0.0  # earliest time at which the bytes read last may have been received
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
         self.read_at = float("-inf")  # when bytes were read last
@@ -104,16 +105,15 @@
 
     def wait_until_readable(self) -> bool:
         """Wait until the connection may be read; return False once it has ended."""
-        waiting_since: float | None = None
         while not self.finished:
             if not self.state.may_read():
-                waiting_since = None
                 self.wait_for_space()
             elif self.room() > 0:
                 return True
             else:
-                waiting_since = now_ms() if waiting_since is None else waiting_since
-                if self.state.must_refuse(now_ms() - waiting_since):
+                if self.short_since is None:
+                    self.short_since = now_ms()
+                if self.state.must_refuse(now_ms() - self.short_since):
                     self.refuse_input()
                 if self.room() <= 0:
                     gevent.sleep(MEMORY_POLL_MS / 1000)
@@ -324,6 +324,8 @@
     def post_line(self) -> None:
         """Post the first complete line; it is refused if there is no memory, or if it is too long."""
         refusal = Refusal.NO_MEMORY if self.refuses_input else None
+        if refusal is None:
+            self.short_since = None
         line = self.input.next_line()
         if len(line) > self.limits.line_bytes:
             refusal = Refusal.TOO_LONG
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.event import Event
 
@@ -18,28 +18,26 @@
 from ..core.pauses import PauseWatch
 from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
-from ..memory_budget import CONNECTION_BYTES, MAX_PLACE_WAIT_MS, MIN_INPUT_BYTES, Owner, Pressure
+from ..memory_budget import CONNECTION_BYTES, MIN_INPUT_BYTES, Owner, Pressure
 from .client import ClientActor
 from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, TransferWhenIdle
 from .connection_ends import ConnectionEnds
 from .connection_state import EndReason
 from .listening import wait_for_listener
+from .pending_connections import PendingConnection, PendingConnections
 from .read_turns import ReadTurns
 from .refusal import refuse_connection
-from .unread import ms_since_data
 
-MAX_REFUSED_CONNECTIONS = 64  # whose calls are refused at a time
+MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time
+PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
 
 @dataclass(slots=True)
 class ConnectionAccepted:
-    """An accepted connection; `served_before` if it was transferred from another process."""
+    """A connection was accepted, or transferred from another process."""
 
-    sock: socket.socket
-    name: str
-    served_before: bool = False
-    accepted_at: float = 0.0
+    connection: PendingConnection
 
 
 class ConnectionRefused:
@@ -71,10 +69,6 @@
     transfer: Callable[[socket.socket, str], object]
 
 
-class CloseIdleClient:
-    """New connections wait for a client to leave."""
-
-
 class RelieveMemory:
     """The memory is short: partial lines give way."""
 
@@ -83,7 +77,7 @@
     """The other process has ended; accept clients here again."""
 
 
-def prepare_connection(sock: socket.socket, peer: tuple[str, int], log: Log) -> ConnectionAccepted | None:
+def prepare_connection(sock: socket.socket, peer: tuple[str, int], log: Log) -> PendingConnection | None:
     """Return a connection ready for its actor, or None if it was reset already."""
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -91,7 +85,7 @@
         log("accept-failed", str(error))
         sock.close()
         return None
-    return ConnectionAccepted(sock, f"{peer[0]}:{peer[1]}", accepted_at=now_ms())
+    return PendingConnection(sock, f"{peer[0]}:{peer[1]}", accepted_at=now_ms())
 
 
 def limit_buffers(listening: socket.socket, limits: Limits) -> None:
@@ -119,9 +113,8 @@
         self.turns = ReadTurns()
         self.ends = ConnectionEnds(log, core.metrics)
         self.refused_connections = 0  # whose calls are being refused
-        self.waiting: deque[ConnectionAccepted] = deque()  # for memory
+        self.pending = PendingConnections()
         self.stopping, self.all_closed = False, Event()
-        self.client_closed = Event()  # set when a client connection has closed
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
         self.transfer_request: TransferWhenIdle | None = None
         self.listening: socket.socket | None = None
@@ -171,33 +164,26 @@
             pauses.reset()
             if (accepted := prepare_connection(sock, peer, self.log)) is None:
                 continue
-            if self.wait_for_room(acceptor, accepted.sock):
-                self.blocking_send(accepted)
-            else:
-                self.refuse_connection(accepted.sock, accepted.name)
+            self.wait_until_queued(acceptor)
+            self.blocking_send(ConnectionAccepted(accepted))
 
-    def wait_for_room(self, acceptor: socket.socket, accepted: socket.socket) -> bool:
-        """Wait while there is no room for the connection and may be soon; those after it are not accepted.
+    def wait_until_queued(self, acceptor: socket.socket) -> None:
+        """Wait while as many connections wait as may; those after it are not accepted."""
+        while acceptor.fileno() >= 0 and self.waiting_connections() >= self.limits.pending_connections():
+            gevent.sleep(PENDING_POLL_MS / 1000)
 
-        Returns False if it has waited too long, in the kernel's backlog and here. If all are busy, a new
-        connection is rejected at once, so that the client can try elsewhere.
-        """
-        held_since = now_ms()
-        while acceptor.fileno() >= 0 and self.is_full() and self.may_get_room():
-            if max(ms_since_data(accepted), now_ms() - held_since) >= MAX_PLACE_WAIT_MS:
-                return False
-            self.client_closed.clear()
-            self.try_send(CloseIdleClient())
-            self.client_closed.wait(self.limits.client_fresh_ms / 1000)
-        return True
+    def waiting_connections(self) -> int:
+        """Return how many accepted connections have no place, including those in the mailbox."""
+        return sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + len(self.pending)
+
+    def may_refuse_connections(self) -> int:
+        """Return of how many further connections the calls may be refused at the moment."""
+        return max(0, MAX_REFUSED_CONNECTIONS - self.refused_connections)
 
     def refuse_connection(self, sock: socket.socket, name: str) -> None:
         """Refuse the calls of a connection that gets no place, in a greenlet of its own."""
         self.refused_connections += 1
-        if self.refused_connections > MAX_REFUSED_CONNECTIONS:
-            self.run_refusal(sock, name)
-        else:
-            spawn(self.log, f"refusal {name}", lambda: self.run_refusal(sock, name))
+        spawn(self.log, f"refusal {name}", lambda: self.run_refusal(sock, name))
 
     def run_refusal(self, sock: socket.socket, name: str) -> None:
         """Refuse the calls of a connection until no more come, and close it."""
@@ -215,7 +201,7 @@
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
-        return [client.sock for client in self.clients] + [accepted.sock for accepted in self.waiting]
+        return [client.sock for client in self.clients] + self.pending.sockets()
 
     @property
     def hard_limit(self) -> int:
@@ -236,11 +222,9 @@
         if level >= Pressure.RELIEVING:
             self.try_send(RelieveMemory())
 
-    def is_full(self) -> bool:
-        """Return whether clients hold all permitted connections, including those in the mailbox."""
-        accepted = sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + len(self.waiting)
-        no_memory = self.memory.free(Owner.CONNECTIONS) < (accepted + 1) * CONNECTION_BYTES
-        return no_memory or len(self.clients) + accepted >= self.hard_limit
+    def has_place(self) -> bool:
+        """Return whether another connection may be served now."""
+        return len(self.clients) < self.hard_limit and self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
 
     def may_get_room(self) -> bool:
         """Return whether some client has no open call, or stands still, or only the memory is short.
@@ -250,15 +234,18 @@
         if len(self.clients) < self.limits.sockets // 2:
             return True
         now = now_ms()
-        return any(c.idle_ms(now) is not None or c.stalled_bytes(now) for c in self.clients)
+        return any(
+            c.idle_ms(now) is not None or c.stalled_bytes(now) or c.sends_too_many_lines(now)
+            for c in self.clients
+        )
 
     def run(self) -> None:
         swept = now_ms()
         while not self.finished:
-            is_short = self.waiting or self.stopping or self.memory.pressure >= Pressure.RELIEVING
+            is_short = self.pending or self.stopping or self.memory.pressure >= Pressure.RELIEVING
             self.wait_for_message(RELIEF_MS if is_short else self.limits.sweep_ms)
             self.process_mailbox()
-            self.admit_waiting()
+            self.admit_pending()
             if self.memory.pressure >= Pressure.RELIEVING:
                 self.relieve_memory()
             now = now_ms()
@@ -293,12 +280,10 @@
 
     def receive(self, message: Any) -> None:
         match message:
-            case ConnectionAccepted(sock, name, served_before):
-                self.add_client(sock, name, served_before)
+            case ConnectionAccepted(connection):
+                self.take_connection(connection)
             case ClientClosed(client):
                 self.forget_client(client)
-            case CloseIdleClient():
-                self.make_place()
             case RelieveMemory():
                 self.relieve_memory()
             case TransferClients(transfer) if not self.stopping:
@@ -315,7 +300,7 @@
                 self.finished = acceptor.fileno() >= 0
             case StopListening():
                 self.stop_listening()
-        is_busy = self.clients or self.waiting or self.running_acceptors or self.refused_connections
+        is_busy = self.clients or self.pending or self.running_acceptors or self.refused_connections
         if self.stopping and not (is_busy or self.mailbox):
             self.all_closed.set()
 
@@ -352,23 +337,37 @@
                 continue
             pauses.reset()
             if (accepted := prepare_connection(sock, peer, self.log)) is not None:
-                self.add_client(accepted.sock, accepted.name, accepted.served_before)
-
-    def add_client(self, sock: socket.socket, name: str, served_before: bool) -> None:
+                self.take_connection(accepted)
+
+    def take_connection(self, connection: PendingConnection) -> None:
+        """Serve a connection, now or once it has a place. If all are busy, it is refused at once."""
+        if not (self.has_place() or self.may_get_room()) and self.may_refuse_connections():
+            return self.refuse_connection(connection.sock, connection.name)
+        self.pending.add(connection)
+        self.admit_pending()
+
+    def admit_pending(self) -> None:
+        """Serve connections as far as there are places, and have others give way to the rest."""
+        while self.pending and self.has_place():
+            self.add_client(self.pending.take_next())
+        if not self.pending:
+            return
+        for connection in self.pending.take_left():
+            self.ends.record(connection.name, EndReason.CLIENT_LEFT, (), "")
+            self.ends.close(connection.sock)
+        for connection in self.pending.take_overdue(self.may_refuse_connections()):
+            self.refuse_connection(connection.sock, connection.name)
+        if len(self.pending) > sum(self.clients.values()):  # else as many leave already
+            self.make_place()
+
+    def add_client(self, connection: PendingConnection) -> None:
+        """Start the actor of a connection that has a place."""
         if len(self.clients) - sum(self.clients.values()) >= self.soft_limit:
             self.close_idle_client()
-        if len(self.clients) >= self.hard_limit or self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
-            self.close_stalled_client()
-        if len(self.clients) >= self.hard_limit:
-            self.refuse_connection(sock, name)
-            return
-        if not self.memory.try_charge(Owner.CONNECTIONS, CONNECTION_BYTES):
-            self.log("connection-waits", f"{name}: {self.memory.describe()}")
-            self.waiting.append(ConnectionAccepted(sock, name, served_before, now_ms()))
-            return
+        self.memory.charge(Owner.CONNECTIONS, CONNECTION_BYTES)
         client = ClientActor(
-            sock,
-            name,
+            connection.sock,
+            connection.name,
             self.maker,
             self.core,
             self.limits,
@@ -378,28 +377,15 @@
             self.turns,
             self.ends,
         )
-        self.clients[client], client.has_sent_line = False, served_before
+        self.clients[client], client.has_sent_line = False, connection.served_before
         client.start()
         if self.stopping:
             self.close_when_idle(client, EndReason.STOPPING)
 
-    def admit_waiting(self) -> None:
-        """Serve the accepted connections that waited for memory, as far as there is some now."""
-        for _ in range(len(self.waiting)):
-            if self.memory.free(Owner.CONNECTIONS) < CONNECTION_BYTES:
-                if now_ms() - self.waiting[0].accepted_at < MAX_PLACE_WAIT_MS:
-                    return
-                accepted = self.waiting.popleft()
-                self.refuse_connection(accepted.sock, accepted.name)
-                continue
-            accepted = self.waiting.popleft()
-            self.add_client(accepted.sock, accepted.name, accepted.served_before)
-
     def forget_client(self, client: ClientActor) -> None:
         """Give back the place and the memory of a client that has ended."""
         if self.clients.pop(client, None) is not None:
             self.memory.release(Owner.CONNECTIONS, CONNECTION_BYTES)
-        self.client_closed.set()
 
     def relieve_memory(self) -> None:
         """Refuse partial lines, those that hold most first, until the memory suffices.
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -4,20 +4,23 @@
 
 import contextlib
 import re
-from collections.abc import Iterable
 from typing import Any
 
+import gevent
 import msgspec
 from gevent import socket
 
 from ..core.clock import now_ms
 from .jsonrpc import REFUSED, BadRequestError, decode_message
+from .line_skimmer import LineSkimmer
 
 CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 GIVE_UP_METHOD = "giveUp"
 CALL_MEMBER, ID_MEMBER = b"method", b'"id"'  # in each call
-MAX_INPUT_BYTES = 64 * 1024  # more than a receive buffer holds
+READ_BYTES = 4 * 1024  # at a time
+MAX_START_BYTES = 128  # of a line, which tell its id if it stands at the usual place
 QUIET_S = 0.05  # without a byte, after which the calls of a refused connection have been read
+READ_EACH_MS = 2.0  # between reads, for those that are served
 MAX_REFUSING_MS = 1000.0  # for one connection
 
 
@@ -35,11 +38,6 @@
     return None if message.method == GIVE_UP_METHOD else message.id
 
 
-def refused_ids(lines: Iterable[bytes]) -> list[int]:
-    """Return the ids of the calls in these lines, each once."""
-    return list(dict.fromkeys(id for id in map(call_id, lines) if id is not None))
-
-
 def encode_refusal(id: int, reason: str, backoff_ms: float) -> bytes:
     """Return the line that refuses a call; a backoff of 0 is not named."""
     error: dict[str, Any] = {"code": REFUSED, "message": reason}
@@ -48,6 +46,39 @@
     return msgspec.json.encode({"jsonrpc": "2.0", "id": id, "error": error}) + b"\n"
 
 
+class CallReader:
+    """Finds the ids of the calls in a stream without holding their lines."""
+
+    def __init__(self) -> None:
+        self.skimmer, self.start = LineSkimmer(), b""
+
+    def feed(self, data: bytes) -> list[int]:
+        """Take a piece of the stream; return the ids of the calls that end in it, and of one that begins."""
+        ids: list[int] = []
+        if not self.start:
+            lines, _, rest = data.rpartition(b"\n")
+            data = data if may_want_answer(lines) else rest
+        while data:
+            if not self.start:
+                self.start = data[:MAX_START_BYTES]
+            line, data = self.skimmer.feed(data)
+            if line is None:
+                ids += self.early_id()
+            else:
+                id = None if self.skimmer.is_answered else call_id(line)
+                ids += [] if id is None else [id]
+                self.skimmer, self.start = LineSkimmer(), b""
+        return ids
+
+    def early_id(self) -> list[int]:
+        """Return the id of the call that has begun, once, if its start tells it."""
+        head = None if self.skimmer.is_answered else CALL_START.match(self.start)
+        if head is None:
+            return []
+        self.skimmer.is_answered = True
+        return [int(head[1])]
+
+
 def refuse_connection(sock: socket.socket, reason: str, backoff_ms: float) -> int:
     """Refuse the calls that come on a connection without an actor, until none has come for a moment.
 
@@ -55,16 +86,11 @@
     would take the refusals away from it.
     """
     sock.settimeout(QUIET_S)
-    count, data, give_up_at = 0, b"", now_ms() + MAX_REFUSING_MS
+    count, reader, give_up_at = 0, CallReader(), now_ms() + MAX_REFUSING_MS
     with contextlib.suppress(OSError):
-        while now_ms() < give_up_at and (piece := sock.recv(MAX_INPUT_BYTES)):
-            *lines, data = (data + piece).split(b"\n")
-            ids = refused_ids(lines)
+        while now_ms() < give_up_at and (data := sock.recv(READ_BYTES)):
+            ids = reader.feed(data)
             sock.sendall(b"".join(encode_refusal(id, reason, backoff_ms) for id in ids))
             count += len(ids)
-            data = data[:MAX_INPUT_BYTES]
-    if (start := CALL_START.match(data)) is not None:
-        with contextlib.suppress(OSError):
-            sock.sendall(encode_refusal(int(start[1]), reason, backoff_ms))
-        count += 1
+            gevent.sleep(READ_EACH_MS / 1000)
     return count
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -34,6 +34,7 @@
 from ..log import Log
 from ..net.bans import BanChanged
 from ..net.hostlist import Ban, HostListActor
+from ..net.pending_connections import PendingConnection
 from ..net.platform import ConnectionAccepted, PlatformFront, ResumeAccepting, TransferClients
 from ..parts import Parts
 from .bans import BanFile, BansError
@@ -234,7 +235,7 @@
                 self.yield_to(link)
             case PeerMessageReceived(_, ClientTransfer(name), int(descriptor)):
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptor)
-                self.front.blocking_send(ConnectionAccepted(sock, name, served_before=True))
+                self.front.blocking_send(ConnectionAccepted(PendingConnection(sock, name, True, now_ms())))
             case ClientReleased(sock, name):
                 self.transfer_client(sock, name)
             case PeerMessageReceived(link, BanChange(id, on, version)):
@@ -317,7 +318,7 @@
                 return
         except OSError as error:
             self.log("upgrade-link", str(error))
-        self.front.blocking_send(ConnectionAccepted(sock, name, served_before=True))
+        self.front.blocking_send(ConnectionAccepted(PendingConnection(sock, name, True, now_ms())))
 
     def close(self, link: Link) -> None:
         """Close the link and the descriptors that no line has claimed."""
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -313,6 +313,24 @@
         sock.close()
 
 
+# Guards against usual clients that wait for a place behind a crowd of half requests.
+def test_connection_with_a_whole_short_call_gets_the_next_place() -> None:
+    front = Front()
+    front.core.memory.resize(3_000_000)
+    places = front.front.hard_limit
+    held = [front.connect(line(n)) for n in range(places)]
+    until(lambda: len(front.core.calls) == places, "all places are taken")
+    slow = [front.connect(START) for _ in range(20)]
+    until(lambda: len(front.front.pending) == 20, "they wait")
+    usual = front.connect(line(9000))
+    until(lambda: len(front.front.pending) == 21, "it waits, too")
+    held.pop().close()
+    until(lambda: 9000 in front.core.calls, "served before the others")
+    assert len(front.front.pending) == 20
+    for sock in (usual, *held, *slow):
+        sock.close()
+
+
 # Guards against a close with open calls that the log omits, or tells nothing of.
 def test_each_close_with_open_calls_is_logged(capsys: pytest.CaptureFixture[str]) -> None:
     log = Log("n0", lines_per_s=1)
--- a/tests/test_shutdown_crossings.py
+++ b/tests/test_shutdown_crossings.py
@@ -9,7 +9,9 @@
 from gevent import socket
 from gevent.event import Event
 
+from harrieryoke.core.clock import now_ms
 from harrieryoke.net.client_messages import CloseIfIdle
+from harrieryoke.net.pending_connections import PendingConnection
 from harrieryoke.net.platform import ConnectionAccepted, ResumeAccepting, StopListening, TransferClients
 
 from .clients import BODY, TIMEOUT_S, Connection, Front, line, read, until
@@ -178,7 +180,7 @@
     sock = f.connect(line(1))
     served, _ = f.listening.accept()
     f.front.try_send(StopListening())
-    f.front.try_send(ConnectionAccepted(served, "c:1", served_before=True))
+    f.front.try_send(ConnectionAccepted(PendingConnection(served, "c:1", True, now_ms())))
     check_stop_after_answer(f, sock)
 
 
