--- a/harrieryoke/lab/judge/play.py
+++ b/harrieryoke/lab/judge/play.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -18,8 +18,12 @@
 from gevent import socket
 
 from ...core.clock import now_ms
+from ...function_table import FUNCTION_BYTES
+from ...limits import Limits
+from ...state import MIN_STALE_TASKS, STALE_SHARE
 from ..world import ROOT, SETTINGS, free_port, resident_mb
 from .clients import LoudOrder, SteadyOrder
+from .faults import plant
 from .hosts import Addresses
 from .records import ClientRecord
 from .scenario import Leaving, Reading, Scenario, Signal
@@ -29,7 +33,8 @@
 WATCH_S = 0.1
 RELOAD_S = 2.0
 KILL_AFTER_S = 3.7  # after SIGTERM
-WARM_UP_S = 1.0
+WARM_UP_S, YARDSTICK_S = 1.0, 2.0
+FUNCTIONS_FIGURE = 'invoker_memory_bytes{owner="functions"}'
 PART_TIMEOUT_S = 60.0
 
 
@@ -38,6 +43,7 @@
     """What a play showed, and which rules it broke."""
 
     scenario: Scenario
+    alone: ClientRecord = field(default_factory=ClientRecord)  # steady clients before the loud one comes
     kept: ClientRecord = field(default_factory=ClientRecord)
     connecting: ClientRecord = field(default_factory=ClientRecord)
     loud: ClientRecord = field(default_factory=ClientRecord)
@@ -64,6 +70,9 @@
             broken.append(f"memory: {max(self.resident_mb):.1f} MB of {self.scenario.memory_mb}")
         if self.exit_code not in ((None, 0) if stops else (None,)):
             broken.append(f"the process ended with {self.exit_code}")
+        functions, allowed = self.figures.get(FUNCTIONS_FIGURE, 0.0), allowed_function_bytes(self.scenario)
+        if functions > allowed:
+            broken.append(f"functions: {functions:.0f} bytes of {allowed:.0f}")
         broken += [f"fault: {line}" for line in self.log.splitlines() if " end-fault " in line][:3]
         broken += [f"died: {line}" for line in self.log.splitlines() if " greenlet-died " in line][:3]
         return broken
@@ -97,14 +106,23 @@
                 f"{record.ended} of {record.connections} ended, p50 {record.latency(0.5):.0f} "
                 f"p99 {record.latency(0.99):.0f} ms"
             )
+        parts.append(f"alone p50 {self.alone.latency(0.5):.0f} p99 {self.alone.latency(0.99):.0f} ms")
+        ends = {name[24:-1]: int(n) for name, n in self.figures.items() if "_ends{" in name and n}
+        parts.append(f"ends {ends}")
         return "; ".join(parts)
 
 
+def allowed_function_bytes(scenario: Scenario) -> float:
+    """Return what may be remembered of functions, with the forgotten ones that tasks still hold."""
+    limits = Limits(memory_mb=scenario.memory_mb, sockets=SOCKETS)
+    return limits.function_bytes() * (1 + STALE_SHARE) + MIN_STALE_TASKS * FUNCTION_BYTES
+
+
 class Play:
-    """The processes of one play."""
+    """The processes of one play; the invoker gets `environment` beside its own."""
 
-    def __init__(self, scenario: Scenario, folder: Path) -> None:
-        self.scenario, self.folder = scenario, folder
+    def __init__(self, scenario: Scenario, folder: Path, environment: Mapping[str, str]) -> None:
+        self.scenario, self.folder, self.environment = scenario, folder, environment
         self.verdict = Verdict(scenario)
         self.parts: list[subprocess.Popen[str]] = []
         hosts = self.start_part("hosts")
@@ -130,6 +148,7 @@
             "RELAY_CONFIG": str(self.folder / "config.json"),
             "RELAY_MANAGEMENT": f"{management[0]}:{management[1]}",
             "TMPDIR": str(self.folder),
+            **self.environment,
         }
         started = self.log().count(" started ")
         with open(self.folder / "log", "a") as log:
@@ -181,6 +200,8 @@
         scenario, seconds = self.scenario, self.scenario.seconds
         if scenario.warm:
             self.start_clients("steady", SteadyOrder(self.address, scenario.steady, -1, WARM_UP_S))()
+        yardstick = SteadyOrder(self.address, scenario.steady, -2, YARDSTICK_S)
+        self.verdict.alone = self.start_clients("steady", yardstick)()[0]
         watching = gevent.spawn(self.watch_memory)
         steady = self.start_clients(
             "steady", SteadyOrder(self.address, scenario.steady, scenario.seed, seconds)
@@ -253,10 +274,11 @@
 }
 
 
-def play(scenario: Scenario) -> Verdict:
-    """Play one scenario in a folder of its own."""
+def play(scenario: Scenario, fault: str = "") -> Verdict:
+    """Play one scenario in a folder of its own, with a planted fault if one is named."""
     with tempfile.TemporaryDirectory(prefix="harrieryoke-judge-") as folder:
-        made = Play(scenario, Path(folder))
+        environment = plant(fault, Path(folder)) if fault else {}
+        made = Play(scenario, Path(folder), environment)
         try:
             return made.run()
         finally:
--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -96,6 +96,8 @@
                     continue
                 if not data or self.finished or not self.take_input(data):
                     break
+                if self.skimmer is not None:
+                    self.let_others_run()
         except OSError:
             pass  # a reset counts as the end of the stream
         except Exception:
@@ -103,6 +105,11 @@
             raise
         self.end_connection(EndReason.CLIENT_LEFT)
 
+    def let_others_run(self) -> None:
+        """Pass the processor on: bytes that are skipped may always be there at once."""
+        with self.turns.turn():
+            gevent.sleep(self.read_rate.take_spent() / 1000 if self.turns.waiting else 0)
+
     def wait_until_readable(self) -> bool:
         """Wait until the connection may be read; return False once it has ended."""
         while not self.finished:
@@ -236,8 +243,10 @@
 
     def take_skimmed(self, skimmer: LineSkimmer, data: bytes) -> bytes:
         """Skip bytes of a refused line; return what follows it."""
+        started_at = now_ms()
         line, rest = skimmer.feed(data)
         self.read_rate.count_line()
+        self.read_rate.charge(now_ms() - started_at)
         if line is not None:
             self.skimmer = None
             if not skimmer.is_answered:
