Keep a connection in the middle of a refused line until it has been silent for 250 ms

Cause: a line that was refused for want of memory is skipped; in that state the connection counted as idle, and as owing nothing as long as no line feed was unread. The client had written its next calls already: they stood in its own send buffer, behind the rest of the refused line.

A connection in the middle of a line is not idle, refused or not, and may only end for others once the kernel has had nothing of it for 250 ms. With it: a connection that waits for a place is refused after 0.7 of the first call's time, not only after 2.5 s, as calls of 0.5 s were answered late; skipping waits for its turn each millisecond of work, not each read; connections that end with the process are recorded.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -50,7 +50,7 @@
 from .outgoing import OutgoingQueue
 from .read_turns import ReadTurns
 from .refusal import may_want_answer
-from .unread import InputState, given_up_id, input_state, ms_since_data, peek, read_now
+from .unread import InputState, given_up_id, input_state, ms_since_data, read_now
 
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
@@ -118,15 +118,13 @@
     def stalled_bytes(self, now: float) -> int:
         """Return what a client holds here that may give way to others; 0 if it moves on or is owed answers.
 
-        It moves on if the kernel has something from it that is not read here: a delay of this process is not
-        the client's. One whose call was refused, and that goes on with its line, has had its answer.
+        It moves on if the kernel has something from it that is not read here, or had a moment ago: a delay of
+        this process is not the client's, and a call may stand behind the rest of a refused line.
         """
         if self.state.owes(False):
             return 0
-        if self.skimmer is not None:
+        if self.is_in_line() and now - self.last_active > STALLED_MS and self.sends_nothing():
             return max(1, self.charged_input)
-        if self.partial and now - self.last_active > STALLED_MS and self.sends_nothing():
-            return self.charged_input
         return 0
 
     def sends_nothing(self) -> bool:
@@ -200,10 +198,10 @@
         return [call.request_id for call in self.ids] + waiting
 
     def has_unread_call(self) -> bool:
-        """Return whether the kernel holds input that may be a call; the rest of a refused line is none."""
-        if self.skimmer is None:
-            return input_state(self.sock) is InputState.UNREAD
-        return b"\n" in peek(self.sock)
+        """Return whether input that may be a call is unread, or may be on its way behind a refused line."""
+        if self.skimmer is not None:
+            return not self.sends_nothing()
+        return input_state(self.sock) is InputState.UNREAD
 
     def finish(self) -> None:
         """Withdraw all open calls."""
--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -22,6 +22,7 @@
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while nothing is read
 MEMORY_POLL_MS = 60.0  # between checks for memory to read on
+SKIM_SLICE_MS = 1.0  # of processor time, after which skipping bytes waits for a turn
 REFUSED_INPUT_BYTES = 4 * 1024  # that may be read without memory, to be refused
 QUIET_MS = 2.0  # without data; what was sent before has arrived then
 
@@ -74,6 +75,10 @@
         """Whether a line has begun that is neither complete nor refused."""
         return self.input.has_partial()
 
+    def is_in_line(self) -> bool:
+        """Return whether a line has begun that has not ended, refused or not."""
+        return self.partial or self.skimmer is not None
+
     @property
     def unposted(self) -> bool:
         """Whether complete lines wait for space in the mailbox."""
@@ -96,7 +101,7 @@
                     continue
                 if not data or self.finished or not self.take_input(data):
                     break
-                if self.skimmer is not None:
+                if self.skimmer is not None and self.read_rate.spent_ms > SKIM_SLICE_MS:
                     self.let_others_run()
         except OSError:
             pass  # a reset counts as the end of the stream
@@ -245,7 +250,6 @@
         """Skip bytes of a refused line; return what follows it."""
         started_at = now_ms()
         line, rest = skimmer.feed(data)
-        self.read_rate.count_line()
         self.read_rate.charge(now_ms() - started_at)
         if line is not None:
             self.skimmer = None
--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from dataclasses import dataclass
 
@@ -12,6 +13,9 @@
 from .refusal import CALL_MEMBER
 from .unread import has_hung_up, ms_since_data, peek
 
+BUDGET = re.compile(rb'"budget"\s*:\s*(\d{1,9})')  # of a call, in milliseconds
+MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
+
 
 @dataclass(slots=True, eq=False)
 class PendingConnection:
@@ -28,8 +32,14 @@
         return bool(end) and CALL_MEMBER in line
 
     def is_overdue(self, now: float) -> bool:
-        """Return whether it has waited for too long, in the kernel's backlog and here."""
-        return max(ms_since_data(self.sock), now - self.accepted_at) >= MAX_PLACE_WAIT_MS
+        """Return whether it has waited for too long, in the kernel and here, or for its call."""
+        waited = max(ms_since_data(self.sock), now - self.accepted_at)
+        return waited >= min(MAX_PLACE_WAIT_MS, MAX_WAIT_SHARE * self.budget_ms())
+
+    def budget_ms(self) -> float:
+        """Return the time of the first call, if it has come; else infinity."""
+        found = BUDGET.search(peek(self.sock))
+        return float("inf") if found is None else float(found[1])
 
 
 class PendingConnections:
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -315,6 +315,12 @@
         for client in [c for c, leaving in self.clients.items() if not leaving]:
             self.close_when_idle(client, EndReason.STOPPING)
 
+    def record_remaining(self) -> None:
+        """Record the connections that end with the process."""
+        for client in list(self.clients):
+            if not client.finished:
+                client.stop_serving(EndReason.STOPPING, client.owed_calls(), "the process exits")
+
     def accept_backlog(self) -> None:
         """Accept the connections in the kernel's backlog, which a close would reset.
 
@@ -442,7 +448,7 @@
         once, or never, and keep their connections.
         """
         now = now_ms()
-        staying = [c for c, leaving in self.clients.items() if not leaving and not c.partial]
+        staying = [c for c, leaving in self.clients.items() if not (leaving or c.is_in_line())]
         idle = {c: q for c in staying if (q := c.idle_ms(now)) is not None}
         if idle and max(idle.values()) > self.limits.client_fresh_ms:
             self.close_when_idle(max(idle, key=idle.__getitem__), EndReason.PLACE)
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -309,6 +309,7 @@
             gevent.sleep(self.limits.stop_accepting_ms / 1000)
         self.front.blocking_send(StopListening())
         self.front.all_closed.wait((by + 100.0 - now_ms()) / 1000)
+        self.front.record_remaining()
         if self.broker is not None:
             self.broker.gone.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
         if self.upgrade is not None:
