Keep a quarter of the places for connections that come with a call, and refuse first calls in time

Callers saw: at 32 MB, where 55 connections find a place, usual calls wait 1 to 2 s beside 330 clients that send slowly or never read, and some are refused; a turn that loud clients take was held while its client read nothing, and others waited for up to a second.

Cause: clients that may not be closed any more hold their places longer. A turn was taken before it was known whether a line may be handed on.

Three quarters of the places are for connections whose first call had not come whole. The first call of a connection that waits too long is refused at once, before its turn to be read and closed. What has come on a waiting connection is looked at each 20 ms, in 4 KB. A line is skipped in slices of a millisecond. A turn is only taken when a line can be handed on.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -84,6 +84,7 @@
         self.deferred: deque[LineReceived] = deque()  # lines that came while answers wait
         self.close_request: CloseIfIdle | None = None
         self.transfer_request: TransferWhenIdle | None = None
+        self.came_with_call = False  # a whole short call had come before it had a place
         self.asked_at = float("-inf")  # when the front last asked it to give way
         # answers of ordinary size to all requests that may be open at once, and some long ones
         typical_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_OVERHEAD_BYTES)
--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -18,11 +18,11 @@
 from .line_skimmer import LineSkimmer
 from .read_turns import TURN_LINES, ReadRate, ReadTurns
 from .refusal import CALL_START
-from .unread import InputState, has_hung_up, input_state, ms_since_data
+from .unread import InputState, has_hung_up, input_state, ms_since_data, read_now
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while nothing is read
 MEMORY_POLL_MS = 60.0  # between checks for memory to read on
-SKIM_SLICE_MS = 1.0  # of processor time, after which skipping bytes waits for a turn
+SKIM_SLICE_MS = 1.0  # after which skipping bytes waits for a turn
 REFUSED_INPUT_BYTES = 4 * 1024  # that may be read without memory, to be refused
 QUIET_MS = 2.0  # without data; what was sent before has arrived then
 
@@ -101,8 +101,8 @@
                     continue
                 if not data or self.finished or not self.take_input(data):
                     break
-                if self.skimmer is not None and self.read_rate.spent_ms > SKIM_SLICE_MS:
-                    self.let_others_run()
+                if self.skimmer is not None:
+                    self.skim_on()
         except OSError:
             pass  # a reset counts as the end of the stream
         except Exception:
@@ -110,8 +110,13 @@
             raise
         self.end_connection(EndReason.CLIENT_LEFT)
 
-    def let_others_run(self) -> None:
-        """Pass the processor on: bytes that are skipped may always be there at once."""
+    def skim_on(self) -> None:
+        """Skip what is there of a refused line, and pass the processor on: there may always be more."""
+        slice_end = now_ms() + SKIM_SLICE_MS
+        while self.skimmer is not None and now_ms() < slice_end:
+            data = read_now(self.sock, self.limits.line_bytes // 4)
+            if not data or not self.take_input(data):
+                return
         with self.turns.turn():
             gevent.sleep(self.read_rate.take_spent() / 1000 if self.turns.waiting else 0)
 
@@ -303,37 +308,44 @@
         reserve, unless the client closes the connection. `recv` would report that too late, as the end of the
         stream lies behind unread bytes.
         """
-        max_waiting = self.capacity - self.reserve
         while self.unposted and not self.finished:
-            if self.read_rate.is_high(now_ms()):
-                with self.turns.turn():
-                    self.read_rate.take_spent()
-                    is_open = self.post_waiting_lines(TURN_LINES, TURN_LINES)
-                    gevent.sleep(0)
-                    if self.turns.waiting:
-                        # others get as much of the processor as those that take turns
-                        gevent.sleep(self.read_rate.take_spent() / 1000)
-            else:
-                is_open = self.post_waiting_lines(max_waiting, max_waiting)
-            if not is_open:
+            is_loud = self.read_rate.is_high(now_ms())
+            max_waiting = TURN_LINES if is_loud else self.capacity - self.reserve
+            if not self.wait_until_postable(max_waiting):
                 return False
+            if not is_loud:
+                self.post_waiting_lines(max_waiting, max_waiting)
+                continue
+            with self.turns.turn():
+                self.read_rate.take_spent()
+                self.post_waiting_lines(TURN_LINES, TURN_LINES)
+                gevent.sleep(0)
+                if self.turns.waiting:
+                    # others get as much of the processor as those that take turns
+                    gevent.sleep(self.read_rate.take_spent() / 1000)
         return not self.finished
 
-    def post_waiting_lines(self, count: int, max_waiting: int) -> bool:
-        """Post so many of the complete lines, of which some may wait in the mailbox at a time.
+    def may_post(self, max_waiting: int) -> bool:
+        """Return whether another line may be posted, of which so many may wait in the mailbox."""
+        return self.state.may_handle() and len(self.mailbox) < max_waiting
+
+    def wait_until_postable(self, max_waiting: int) -> bool:
+        """Wait until a line may be posted; return False once the connection has ended or the client left.
 
-        Returns False if the client has left meanwhile. Lines of an ended connection are dropped.
+        No turn is held meanwhile: it would be held for as long as the client reads nothing.
         """
-        while self.unposted and count > 0 and not self.finished:
-            if self.state.may_handle() and len(self.mailbox) < max_waiting:
-                self.post_line()
-                count -= 1
-            elif has_hung_up(self.sock):
+        while not (self.finished or self.may_post(max_waiting)):
+            if has_hung_up(self.sock):
                 return False
-            else:
-                self.wait_for_space()
+            self.wait_for_space()
         return not self.finished
 
+    def post_waiting_lines(self, count: int, max_waiting: int) -> None:
+        """Post so many of the complete lines, as far as that needs no wait."""
+        while self.unposted and count > 0 and self.may_post(max_waiting):
+            self.post_line()
+            count -= 1
+
     def post_line(self) -> None:
         """Post the first complete line; it is refused if there is no memory, or if it is too long."""
         refusal = Refusal.NO_MEMORY if self.refuses_input else None
--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -10,11 +10,13 @@
 
 from ..core.clock import now_ms
 from ..memory_budget import MAX_PLACE_WAIT_MS
-from .refusal import CALL_MEMBER
-from .unread import has_hung_up, ms_since_data, peek
+from .refusal import CALL_MEMBER, CALL_START, encode_refusal
+from .unread import has_hung_up, ms_since_data, peek, send_now
 
 BUDGET = re.compile(rb'"budget"\s*:\s*(\d{1,9})')  # of a call, in milliseconds
 MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
+LOOK_EACH_MS = 20.0  # at what has come on a connection
+LOOKED_AT_BYTES = 4 * 1024  # of it; a longer call is not short
 
 
 @dataclass(slots=True, eq=False)
@@ -25,21 +27,35 @@
     name: str
     served_before: bool = False
     accepted_at: float = 0.0
-
-    def has_short_call(self) -> bool:
-        """Return whether the first line has come whole and looks like a call."""
-        line, end, _ = peek(self.sock).partition(b"\n")
-        return bool(end) and CALL_MEMBER in line
-
-    def is_overdue(self, now: float) -> bool:
-        """Return whether it has waited for too long, in the kernel and here, or for its call."""
-        waited = max(ms_since_data(self.sock), now - self.accepted_at)
-        return waited >= min(MAX_PLACE_WAIT_MS, MAX_WAIT_SHARE * self.budget_ms())
-
-    def budget_ms(self) -> float:
-        """Return the time of the first call, if it has come; else infinity."""
-        found = BUDGET.search(peek(self.sock))
-        return float("inf") if found is None else float(found[1])
+    came_with_call: bool = False  # a whole short call has come
+    is_first_refused: bool = False  # its first call was refused, though nothing is read of it yet
+    has_left: bool = False
+    overdue_at: float = float("inf")
+    looked_at: float = float("-inf")
+
+    def look(self, now: float) -> None:
+        """Look at what has come, unless that was done a moment ago."""
+        if now - self.looked_at < LOOK_EACH_MS:
+            return
+        is_first, self.looked_at = self.looked_at < 0, now
+        self.has_left = has_hung_up(self.sock)
+        if self.came_with_call:
+            return
+        data = peek(self.sock, LOOKED_AT_BYTES)
+        line, end, _ = data.partition(b"\n")
+        self.came_with_call = bool(end) and CALL_MEMBER in line
+        # it may have waited in the kernel's backlog, too
+        came_at = now - ms_since_data(self.sock) if is_first else self.accepted_at
+        found = BUDGET.search(data)
+        share = MAX_PLACE_WAIT_MS if found is None else MAX_WAIT_SHARE * float(found[1])
+        self.overdue_at = min(self.overdue_at, min(came_at, self.accepted_at) + min(MAX_PLACE_WAIT_MS, share))
+
+    def refuse_first(self, reason: str, backoff_ms: float) -> None:
+        """Refuse the first call, if its id has come; the rest of the connection may have to wait for that."""
+        if self.is_first_refused:
+            return
+        if (start := CALL_START.match(peek(self.sock, LOOKED_AT_BYTES))) is not None:
+            self.is_first_refused = send_now(self.sock, encode_refusal(int(start[1]), reason, backoff_ms))
 
 
 class PendingConnections:
@@ -59,26 +75,38 @@
         """Return the sockets of the connections."""
         return [connection.sock for connection in self.waiting]
 
-    def take_next(self) -> PendingConnection:
-        """Remove and return the first one that has sent a short call, or the first one; there must be one."""
-        with_call = (connection for connection in self.waiting if connection.has_short_call())
-        chosen = next(with_call, self.waiting[0])
-        self.waiting.remove(chosen)
+    def look(self) -> None:
+        """Look at what has come on each connection."""
+        now = now_ms()
+        for connection in self.waiting:
+            connection.look(now)
+
+    def take_next(self, only_with_call: bool) -> PendingConnection | None:
+        """Remove and return the first one that has sent a whole short call, or else the first one.
+
+        Returns None if there is none, or `only_with_call` is set and no call has come whole.
+        """
+        candidates = [connection for connection in self.waiting if not connection.is_first_refused]
+        chosen = next((connection for connection in candidates if connection.came_with_call), None)
+        if chosen is None and candidates and not only_with_call:
+            chosen = candidates[0]
+        if chosen is not None:
+            self.waiting.remove(chosen)
         return chosen
 
     def take_left(self) -> list[PendingConnection]:
         """Remove and return those whose clients have left."""
-        return self.take([connection for connection in self.waiting if has_hung_up(connection.sock)])
+        left = [connection for connection in self.waiting if connection.has_left]
+        for connection in left:
+            self.waiting.remove(connection)
+        return left
 
-    def take_overdue(self, count: int) -> list[PendingConnection]:
-        """Remove and return so many at most of those that have waited for too long, short calls first."""
-        now = now_ms()
-        overdue = [connection for connection in self.waiting if connection.is_overdue(now)] if count else []
-        overdue.sort(key=lambda connection: not connection.has_short_call())
-        return self.take(overdue[:count])
+    def take(self, connection: PendingConnection) -> None:
+        """Remove a connection."""
+        self.waiting.remove(connection)
 
-    def take(self, connections: list[PendingConnection]) -> list[PendingConnection]:
-        """Remove these connections and return them."""
-        for connection in connections:
-            self.waiting.remove(connection)
-        return connections
+    def overdue(self) -> list[PendingConnection]:
+        """Return those that have waited for too long, those with short calls first."""
+        now = now_ms()
+        overdue = [connection for connection in self.waiting if connection.overdue_at <= now]
+        return sorted(overdue, key=lambda connection: not connection.came_with_call)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -29,6 +29,8 @@
 from .refusal import refuse_connection
 
 MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time
+SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
+NO_PLACE = "no place for this connection"
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
@@ -180,23 +182,22 @@
         """Return of how many further connections the calls may be refused at the moment."""
         return max(0, MAX_REFUSED_CONNECTIONS - self.refused_connections)
 
-    def refuse_connection(self, sock: socket.socket, name: str) -> None:
+    def refuse_connection(self, connection: PendingConnection) -> None:
         """Refuse the calls of a connection that gets no place, in a greenlet of its own."""
         self.refused_connections += 1
-        spawn(self.log, f"refusal {name}", lambda: self.run_refusal(sock, name))
+        spawn(self.log, f"refusal {connection.name}", lambda: self.run_refusal(connection))
 
-    def run_refusal(self, sock: socket.socket, name: str) -> None:
+    def run_refusal(self, connection: PendingConnection) -> None:
         """Refuse the calls of a connection until no more come, and close it."""
+        backoff_ms = self.maker.settings.max_retry_after
         try:
-            count = refuse_connection(
-                sock, "no place for this connection", self.maker.settings.max_retry_after
-            )
-            text = f"{name}: {len(self.clients)} connections are open, {count} of its calls are refused"
-            self.log("too-many-clients", text)
+            count = refuse_connection(connection.sock, NO_PLACE, backoff_ms, connection.is_first_refused)
+            text = f"{len(self.clients)} connections are open, {count} further calls of it are refused"
+            self.log("too-many-clients", f"{connection.name}: {text}")
         finally:
             self.refused_connections -= 1
-            self.ends.record(name, EndReason.PLACE, (), "")
-            self.ends.close(sock)
+            self.ends.record(connection.name, EndReason.PLACE, (), "")
+            self.ends.close(connection.sock)
             self.try_send(ConnectionRefused())
 
     def client_sockets(self) -> list[socket.socket]:
@@ -226,6 +227,11 @@
         """Return whether another connection may be served now."""
         return len(self.clients) < self.hard_limit and self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
 
+    def is_crowded(self) -> bool:
+        """Return whether the other places are kept for connections that come with a whole short call."""
+        slow = sum(not client.came_with_call for client in self.clients)
+        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE
+
     def may_get_room(self) -> bool:
         """Return whether some client has no open call, or stands still, or only the memory is short.
 
@@ -348,21 +354,27 @@
     def take_connection(self, connection: PendingConnection) -> None:
         """Serve a connection, now or once it has a place. If all are busy, it is refused at once."""
         if not (self.has_place() or self.may_get_room()) and self.may_refuse_connections():
-            return self.refuse_connection(connection.sock, connection.name)
+            return self.refuse_connection(connection)
         self.pending.add(connection)
         self.admit_pending()
 
     def admit_pending(self) -> None:
         """Serve connections as far as there are places, and have others give way to the rest."""
+        self.pending.look()
         while self.pending and self.has_place():
-            self.add_client(self.pending.take_next())
+            if (connection := self.pending.take_next(only_with_call=self.is_crowded())) is None:
+                break
+            self.add_client(connection)
         if not self.pending:
             return
         for connection in self.pending.take_left():
             self.ends.record(connection.name, EndReason.CLIENT_LEFT, (), "")
             self.ends.close(connection.sock)
-        for connection in self.pending.take_overdue(self.may_refuse_connections()):
-            self.refuse_connection(connection.sock, connection.name)
+        for connection in self.pending.overdue():
+            connection.refuse_first(NO_PLACE, self.maker.settings.max_retry_after)
+            if self.may_refuse_connections():
+                self.pending.take(connection)
+                self.refuse_connection(connection)
         if len(self.pending) > sum(self.clients.values()):  # else as many leave already
             self.make_place()
 
@@ -384,6 +396,7 @@
             self.ends,
         )
         self.clients[client], client.has_sent_line = False, connection.served_before
+        client.came_with_call = connection.came_with_call or connection.served_before
         client.start()
         if self.stopping:
             self.close_when_idle(client, EndReason.STOPPING)
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -20,7 +20,7 @@
 READ_BYTES = 4 * 1024  # at a time
 MAX_START_BYTES = 128  # of a line, which tell its id if it stands at the usual place
 QUIET_S = 0.05  # without a byte, after which the calls of a refused connection have been read
-READ_EACH_MS = 2.0  # between reads, for those that are served
+READ_EACH_MS = 5.0  # between reads, for those that are served
 MAX_REFUSING_MS = 1000.0  # for one connection
 
 
@@ -49,13 +49,14 @@
 class CallReader:
     """Finds the ids of the calls in a stream without holding their lines."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_first_answered: bool) -> None:
         self.skimmer, self.start = LineSkimmer(), b""
+        self.skimmer.is_answered = is_first_answered
 
     def feed(self, data: bytes) -> list[int]:
         """Take a piece of the stream; return the ids of the calls that end in it, and of one that begins."""
         ids: list[int] = []
-        if not self.start:
+        if not self.start and not self.skimmer.is_answered:
             lines, _, rest = data.rpartition(b"\n")
             data = data if may_want_answer(lines) else rest
         while data:
@@ -79,14 +80,16 @@
         return [int(head[1])]
 
 
-def refuse_connection(sock: socket.socket, reason: str, backoff_ms: float) -> int:
+def refuse_connection(
+    sock: socket.socket, reason: str, backoff_ms: float, is_first_answered: bool = False
+) -> int:
     """Refuse the calls that come on a connection without an actor, until none has come for a moment.
 
     Returns how many were refused. The caller closes the socket: a close before the client's bytes are read
-    would take the refusals away from it.
+    would take the refusals away from it. The first call may have been refused already.
     """
     sock.settimeout(QUIET_S)
-    count, reader, give_up_at = 0, CallReader(), now_ms() + MAX_REFUSING_MS
+    count, reader, give_up_at = 0, CallReader(is_first_answered), now_ms() + MAX_REFUSING_MS
     with contextlib.suppress(OSError):
         while now_ms() < give_up_at and (data := sock.recv(READ_BYTES)):
             ids = reader.feed(data)
--- a/harrieryoke/net/unread.py
+++ b/harrieryoke/net/unread.py
@@ -75,12 +75,12 @@
         return 0.0
 
 
-def peek(sock: socket.socket) -> bytes:
-    """Return the unread bytes, PEEK_BYTES at most, and leave them unread."""
+def peek(sock: socket.socket, size: int = PEEK_BYTES) -> bytes:
+    """Return the unread bytes, `size` at most, and leave them unread."""
     timeout = sock.gettimeout()
     sock.settimeout(0)
     try:
-        data: bytes = sock.recv(PEEK_BYTES, socket.MSG_PEEK)
+        data: bytes = sock.recv(size, socket.MSG_PEEK)
     except OSError:
         return b""
     finally:
@@ -101,6 +101,14 @@
     return data
 
 
+def send_now(sock: socket.socket, data: bytes) -> bool:
+    """Write a short message without waiting; return whether the kernel has accepted all of it."""
+    try:
+        return bool(sock.send(data, timeout=0.0) == len(data))
+    except OSError:
+        return False
+
+
 def given_up_id(message: Message, open_ids: Iterable[tuple[int, str]]) -> int | None:
     """Return the id that a `giveUp` names; `open_ids` are the ids of open calls and their request ids.
 
