Refuse what was read before the end of a stop, and read nothing in its last 200 ms

Cause: lines were handled until the exit, and what came in the last moments, or waited for answers to be accepted, could not be answered.

200 ms before the end of a stop the clients that are left are read no more, and the lines that were read are refused.

--- a/harrieryoke/lab/judge/play.py
+++ b/harrieryoke/lab/judge/play.py
@@ -35,7 +35,7 @@
 KILL_AFTER_S = 3.7  # after SIGTERM
 WARM_UP_S, YARDSTICK_S = 1.0, 2.0
 FUNCTIONS_FIGURE = 'invoker_memory_bytes{owner="functions"}'
-PART_TIMEOUT_S = 60.0
+PART_TIMEOUT_S = 60.0  # beyond the play
 
 
 @dataclass(slots=True)
@@ -190,7 +190,8 @@
         process = self.start_part("clients", part, msgspec.json.encode(order).decode())
 
         def wait() -> list[ClientRecord]:
-            output, _ = gevent.get_hub().threadpool.apply(process.communicate, (None, PART_TIMEOUT_S))
+            timeout = self.scenario.seconds + PART_TIMEOUT_S
+            output, _ = gevent.get_hub().threadpool.apply(process.communicate, (None, timeout))
             records: list[ClientRecord] = msgspec.json.decode(
                 output.splitlines()[-1], type=list[ClientRecord]
             )
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -28,6 +28,7 @@
     LineReceived,
     OutputDrained,
     RefusePartialLine,
+    StopReading,
     TransferWhenIdle,
 )
 from .client_presence import ClientPresence
@@ -249,6 +250,8 @@
                     self.skim_line(Refusal.NO_MEMORY)
             case GiveWay(reason):
                 self.give_way(reason)
+            case StopReading():
+                self.stop_reading()
             case CloseIfIdle():
                 self.close_request = message
             case TransferWhenIdle():
@@ -282,6 +285,18 @@
         sock, self.sock = self.sock, socket.socket()
         request.transfer(sock, self.client)
 
+    def stop_reading(self) -> None:
+        """Refuse the lines that were read and are not handled; what is unread has come too late."""
+        self.state.reading_stopped()
+        lines = [message for message in self.waiting_messages() if isinstance(message, LineReceived)]
+        others = [message for message in self.mailbox if not isinstance(message, LineReceived)]
+        self.deferred.clear()
+        self.mailbox.clear()
+        self.mailbox.extend(others)
+        waiting = [message.data for message in lines] + self.input.take_lines().split(b"\n")[:-1]
+        for data in waiting:
+            self.handle_message(LineReceived(data, self.received_at, Refusal.STOPPING))
+
     def give_way(self, reason: EndReason) -> None:
         """Pass over what was sent, and end the connection if that comes to an end."""
         messages = [message for message in self.waiting_messages() if not isinstance(message, GiveWay)]
--- a/harrieryoke/net/client_messages.py
+++ b/harrieryoke/net/client_messages.py
@@ -64,6 +64,11 @@
     reason: EndReason
 
 
+@dataclass(frozen=True, slots=True)
+class StopReading:
+    """The process ends soon: refuse the lines that were read, and read no more."""
+
+
 @dataclass(frozen=True, slots=True)
 class CloseIfIdle:
     """Close the connection once no request is open on it and no line is partly read.
--- a/harrieryoke/net/connection_state.py
+++ b/harrieryoke/net/connection_state.py
@@ -53,6 +53,7 @@
         "ended",
         "has_partial",
         "is_giving_way",
+        "is_reading_stopped",
         "lines",
         "open_ids",
         "unsent_answers",
@@ -66,6 +67,7 @@
         self.unsent_bytes = 0  # that the kernel has not accepted
         self.unsent_answers = 0  # among them, to calls; errors for lines without an id are none
         self.is_giving_way = False  # what it sent is passed over, and it ends if that comes to an end
+        self.is_reading_stopped = False  # the process ends before what comes now could be answered
         self.ended: EndReason | None = None
 
     # --- events ---
@@ -99,6 +101,10 @@
         """The connection gives way to others, or could not."""
         self.is_giving_way = is_giving_way
 
+    def reading_stopped(self) -> None:
+        """The process ends: nothing more is read."""
+        self.is_reading_stopped = True
+
     def connection_ended(self, reason: EndReason) -> None:
         """The connection has ended: nothing is read, handled or written any more."""
         if self.ended is None:
@@ -108,7 +114,8 @@
 
     def may_read(self) -> bool:
         """Return whether to read on: while answers wait, the kernel's window slows the client down."""
-        return self.ended is None and not self.unsent_bytes and not self.is_giving_way
+        is_stopped = self.is_giving_way or self.is_reading_stopped
+        return self.ended is None and not self.unsent_bytes and not is_stopped
 
     def may_handle(self) -> bool:
         """Return whether the next line may be handled, which may add an answer to those that wait."""
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -20,7 +20,7 @@
 from ..log import Log
 from ..memory_budget import CONNECTION_BYTES, MIN_INPUT_BYTES, Owner, Pressure
 from .client import ClientActor
-from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, TransferWhenIdle
+from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, StopReading, TransferWhenIdle
 from .connection_ends import ConnectionEnds
 from .connection_state import EndReason
 from .listening import wait_for_listener
@@ -321,6 +321,11 @@
         for client in [c for c, leaving in self.clients.items() if not leaving]:
             self.close_when_idle(client, EndReason.STOPPING)
 
+    def stop_reading(self) -> None:
+        """Have the clients that are left refuse what was read, and read no more: the process ends soon."""
+        for client in self.clients:
+            client.send_bounded(StopReading())
+
     def record_remaining(self) -> None:
         """Record the connections that end with the process."""
         for client in list(self.clients):
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -34,6 +34,8 @@
 if TYPE_CHECKING:
     from .upgrade.link import Upgrade
 
+STOP_READING_MS = 200.0  # before all is answered at a stop
+
 # fields of Config that take effect only at a restart
 RESTART_FIELDS = ("name", "listen", "management", "seed", "limits", "operator")
 
@@ -308,7 +310,9 @@
         if self.front.transfer_request is None:
             gevent.sleep(self.limits.stop_accepting_ms / 1000)
         self.front.blocking_send(StopListening())
-        self.front.all_closed.wait((by + 100.0 - now_ms()) / 1000)
+        if not self.front.all_closed.wait(max(0.0, by - STOP_READING_MS - now_ms()) / 1000):
+            self.front.stop_reading()
+            self.front.all_closed.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
         self.front.record_remaining()
         if self.broker is not None:
             self.broker.gone.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
--- a/tests/test_shutdown_crossings.py
+++ b/tests/test_shutdown_crossings.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import time
 from pathlib import Path
 
+import gevent
 from gevent import socket
 from gevent.event import Event
 
 from harrieryoke.core.clock import now_ms
-from harrieryoke.net.client_messages import CloseIfIdle
+from harrieryoke.net.client_messages import CloseIfIdle, StopReading
+from harrieryoke.net.jsonrpc import REFUSED
 from harrieryoke.net.pending_connections import PendingConnection
 from harrieryoke.net.platform import ConnectionAccepted, ResumeAccepting, StopListening, TransferClients
 
@@ -216,3 +219,19 @@
     assert not f.front.all_closed.is_set()
     assert read(sock, 1) == [(1, len(BODY))] and sock.recv(1) == b""
     assert f.front.all_closed.wait(TIMEOUT_S)
+
+
+# Guards against calls that were read shortly before the process exits and have no answer then.
+def test_lines_that_were_read_before_the_end_of_a_stop_are_refused() -> None:
+    c = Connection()
+    with c.actor.turns.turn():
+        c.send(b"1\n" * 100, line(1), line(2, "probe"))
+        until(lambda: c.actor.read_rate.is_high(now_ms()) and b"probe" in c.actor.input.unread(), "it waits")
+        c.actor.try_send(StopReading())
+        answers = [json.loads(text) for text in itertools.islice(c.sock.makefile("rb"), 102)]
+    assert [answer["id"] for answer in answers[-2:]] == [1, 2]
+    assert answers[-2]["error"]["code"] == REFUSED and answers[-1]["result"]["healthy"]
+    c.send(line(3))
+    gevent.sleep(0.05)
+    assert c.actor.state.lines == 0 and not c.core.calls
+    c.close()
