Accept further connections while those whose first call was refused wait to be closed

Cause: connections whose first call was refused still counted among those that may wait, so that others stayed in the kernel's backlog.

--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -67,6 +67,11 @@
     def __len__(self) -> int:
         return len(self.waiting)
 
+    def unanswered(self) -> int:
+        """Return how many have no answer yet; at most half of them all may have one."""
+        refused = sum(connection.is_first_refused for connection in self.waiting)
+        return max(len(self.waiting) - refused, len(self.waiting) // 2)
+
     def add(self, connection: PendingConnection) -> None:
         """Add a connection at the end."""
         self.waiting.append(connection)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -175,8 +175,8 @@
             gevent.sleep(PENDING_POLL_MS / 1000)
 
     def waiting_connections(self) -> int:
-        """Return how many accepted connections have no place, including those in the mailbox."""
-        return sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + len(self.pending)
+        """Return how many accepted connections have no place and no answer, with those in the mailbox."""
+        return sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + self.pending.unanswered()
 
     def may_refuse_connections(self) -> int:
         """Return of how many further connections the calls may be refused at the moment."""
