Bound the table of functions by number too, at any size of the memory

Callers saw: at 2,048 MB, beside ever new names for 380 s, steady clients' p99 grows to 296 ms (116 at 192 MB) and 48 of 60,316 calls are refused; memory grows on (177 MB).

Cause: the table's bound follows the memory: 121,000 records at 2,048 MB, 95,000 of which were there. That collections of so many objects take the time fits, and was not traced.

At most 20,000 functions are remembered, some 40 MB. test_table_has_a_bound_at_any_size_of_the_memory fails before.

--- a/harrieryoke/function_table.py
+++ b/harrieryoke/function_table.py
@@ -8,6 +8,7 @@
 from .state import Function, RoutingState
 
 FUNCTION_BYTES = 2000  # of the record of a function, without its placement order
+MAX_FUNCTIONS = 20_000  # at any size of the memory: garbage collections of more records delay calls
 PLACE_BYTES = 8  # of one worker in the placement order of a function
 FORGOTTEN_AT_ONCE = 2  # for one new function, so that a table that has become too large shrinks
 LOOKED_AT = 8  # further functions that are looked at in search of unused ones
@@ -19,7 +20,8 @@
 
 def max_functions(settings: Settings, worker_count: int) -> int:
     """Returns how many functions may be remembered within the memory that the settings give them."""
-    return max(1, int(settings.function_bytes / function_bytes(worker_count)))
+    fitting = int(settings.function_bytes / function_bytes(worker_count))
+    return min(max(1, fitting), MAX_FUNCTIONS)
 
 
 def function_bytes(worker_count: int) -> int:
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from harrieryoke.function_table import max_functions
+from harrieryoke.function_table import MAX_FUNCTIONS, max_functions
 from harrieryoke.interface import (
     AttemptEnded,
     ListScope,
@@ -142,6 +142,11 @@
     assert limit - 1 <= len(names.router.functions) <= limit
 
 
+# Guards against a table that is so large, where there is much memory, that collections of it delay calls.
+def test_table_has_a_bound_at_any_size_of_the_memory() -> None:
+    assert max_functions(replace(SETTINGS, function_bytes=1e12), WORKERS) == MAX_FUNCTIONS
+
+
 def count_functions() -> int:
     """Return how many records of functions are alive."""
     return sum(isinstance(each, Function) for each in gc.get_objects())
