--- a/harrieryoke/net/connection_state.py
+++ b/harrieryoke/net/connection_state.py
@@ -61,7 +61,7 @@
     )
 
     def __init__(self) -> None:
-        self.open_ids: set[int] = set()  # of calls that were handled and have no answer
+        self.open_ids: dict[int, None] = {}  # of calls that were handled and have no answer
         self.lines = 0  # read whole and not handled
         self.has_partial = False  # a line has begun that is not refused
         self.unsent_bytes = 0  # that the kernel has not accepted
@@ -87,11 +87,11 @@
 
     def call_opened(self, id: int) -> None:
         """A call waits for its answer."""
-        self.open_ids.add(id)
+        self.open_ids[id] = None
 
     def call_closed(self, id: int) -> None:
         """The call was answered, or its client gave it up."""
-        self.open_ids.remove(id)
+        del self.open_ids[id]
 
     def unsent_changed(self, size: int, answers: int) -> None:
         """So many bytes wait for the kernel, and so many answers to calls are among them."""
