Count the lines that are passed over in the rate of a client that gives way

Seen: test_client_that_sends_too_many_lines_gives_way_and_its_calls_are_refused[2] failed in one run beside load; the case by itself stuck in 1 of some 60 plays. Trace: the actor waits for messages with call 2 open, taken in the usual way, and the test's core answers nothing.

Cause: the lines that were dropped did not count, and the bucket, just below zero after 33 lines, was refilled by one within 500 ms: the client was not loud for a moment, and its lines were handed on without a turn.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -343,6 +343,7 @@
             self.input.put_back(b"".join(line + b"\n" for line in waiting))
         self.release_input(len(lines))
         self.state.line_handled(lines.count(b"\n"))
+        self.read_rate.count_line(lines.count(b"\n"))
         return not self.state.unsent_answers
 
     # --- lines ---
--- a/harrieryoke/net/read_turns.py
+++ b/harrieryoke/net/read_turns.py
@@ -39,9 +39,9 @@
         spent, self.spent_ms = self.spent_ms, 0.0
         return spent
 
-    def count_line(self) -> None:
-        """Count a line."""
-        self.lines = max(-BURST_LINES, self.lines - 1)
+    def count_line(self, count: int = 1) -> None:
+        """Count a line, or so many."""
+        self.lines = max(-BURST_LINES, self.lines - count)
 
     def is_high(self, now: float) -> bool:
         """Return whether the client sends more of them than its rate and burst; `now` is in milliseconds."""
