Leave a quarter of the descriptors to other parts, and memory to connections that come with a call

Seen on: beside 1,100 slow clients the process had 1,089 and 1,109 descriptors open at 128 and 192 MB, where its limit is 1,024; and at 64 MB only 5 of 134 usual calls were served (8 s), 88 refused for want of a place.

Cause: connections that wait for a place, and those whose calls are refused, were bounded by the backlog alone, beside all clients. Slow clients, who may not be closed any more, fill the memory until no place is left for anybody.

Clients, waiting and refused connections together take three quarters of the sockets. From the level 'relieving' on only connections that come with a whole short call get a place. At 64 MB 50 of 89 are served now, 1 refused (6 s); at most 848 descriptors at 192 MB. test_connections_leave_descriptors_for_other_parts fails before.

--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -29,6 +29,7 @@
 from .refusal import refuse_connection
 
 MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time
+CLIENT_SOCKETS_SHARE = 3 / 4  # of all sockets; the rest is for model hosts, the event bus and operators
 SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
 NO_PLACE = "no place for this connection"
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
@@ -171,9 +172,16 @@
 
     def wait_until_queued(self, acceptor: socket.socket) -> None:
         """Wait while as many connections wait as may; those after it are not accepted."""
-        while acceptor.fileno() >= 0 and self.waiting_connections() >= self.limits.pending_connections():
+        while acceptor.fileno() >= 0 and self.has_too_many_connections():
             gevent.sleep(PENDING_POLL_MS / 1000)
 
+    def has_too_many_connections(self) -> bool:
+        """Return whether as many connections wait as may, or clients use as many descriptors as they may."""
+        waiting = self.waiting_connections()
+        in_use = len(self.clients) + len(self.pending) + self.refused_connections
+        most = int(self.limits.sockets * CLIENT_SOCKETS_SHARE)
+        return waiting >= self.limits.pending_connections() or in_use >= most
+
     def waiting_connections(self) -> int:
         """Return how many accepted connections have no place and no answer, with those in the mailbox."""
         return sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + self.pending.unanswered()
@@ -228,9 +236,9 @@
         return len(self.clients) < self.hard_limit and self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
 
     def is_crowded(self) -> bool:
-        """Return whether the other places are kept for connections that come with a whole short call."""
+        """Return whether places, and memory, are kept for connections that come with a whole short call."""
         slow = sum(not client.came_with_call for client in self.clients)
-        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE
+        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE or self.memory.pressure >= Pressure.RELIEVING
 
     def may_get_room(self) -> bool:
         """Return whether some client has no open call, or stands still, or only the memory is short.
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -331,6 +331,16 @@
         sock.close()
 
 
+# Guards against clients and connections that wait, which together take the descriptors of other parts.
+def test_connections_leave_descriptors_for_other_parts() -> None:
+    front = Front(sockets=64)
+    clients = [front.connect(START) for _ in range(60)]
+    gevent.sleep(0.1)  # none has stalled yet
+    assert len(front.front.clients) + len(front.front.pending) + front.front.refused_connections <= 48 + 1
+    for sock in clients:
+        sock.close()
+
+
 # Guards against a close with open calls that the log omits, or tells nothing of.
 def test_each_close_with_open_calls_is_logged(capsys: pytest.CaptureFixture[str]) -> None:
     log = Log("n0", lines_per_s=1)
