Look again whether a client is loud before its lines are posted, and give up the rule on memory for places

Cause of the first: whether a client sends too much was asked before the wait for answers to be accepted; it had become loud meanwhile, and 16 of its lines were handed on at once.

--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -314,7 +314,8 @@
             if not self.wait_until_postable(max_waiting):
                 return False
             if not is_loud:
-                self.post_waiting_lines(max_waiting, max_waiting)
+                if not self.read_rate.is_high(now_ms()):  # it may have become so meanwhile
+                    self.post_waiting_lines(max_waiting, max_waiting)
                 continue
             with self.turns.turn():
                 self.read_rate.take_spent()
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -236,9 +236,9 @@
         return len(self.clients) < self.hard_limit and self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
 
     def is_crowded(self) -> bool:
-        """Return whether places, and memory, are kept for connections that come with a whole short call."""
+        """Return whether the other places are kept for connections that come with a whole short call."""
         slow = sum(not client.came_with_call for client in self.clients)
-        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE or self.memory.pressure >= Pressure.RELIEVING
+        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE
 
     def may_get_room(self) -> bool:
         """Return whether some client has no open call, or stands still, or only the memory is short.
