Refuse each call of a connection without a place before it ends, however long it sends

What callers saw: a connection that got no place was refused for a second at most. A client that was still sending then, or that read nothing for 50 ms, lost its connection with calls that it had written whole, and the end was recorded as owing nothing, as nothing was compared.

Cause: `refuse_connection` had limits of its own in place of those of `ConnectionState`: a time after which the socket was closed over unread bytes, and the time-out of quiet (50 ms) for writes too.

Why it works: such a connection is told by the same `ConnectionState` as any other: it is read only while no refusal waits, ends for `place` only if nothing is unread and nothing unsent, and for a client that takes nothing only after `write_ms`. Its end is recorded with what it owes. A client that goes on for over a second takes turns with other loud ones and no longer counts among the 32 at a time, unless memory is short; what it takes is in the account.

Tests: tests/test_refused_connection.py, three failed before (the first two by a reset connection).

--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -27,6 +27,7 @@
 FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
 CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
 CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
+REFUSED_CONNECTION_BYTES = 12 * 1024  # of one whose calls are refused: greenlet, socket
 REQUEST_BYTES = 4 * 1024  # of an open request, without its body
 MAX_PLACE_WAIT_MS = 2500.0  # of a new connection for its place, after which its calls are refused
 MEASURE_EACH_BYTES = 16 * 1024  # charged, after which the resident memory is read again
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -18,20 +18,26 @@
 from ..core.pauses import PauseWatch
 from ..limits import MAX_BACKLOG, Limits
 from ..log import Log
-from ..memory_budget import CONNECTION_BYTES, MIN_INPUT_BYTES, Owner, Pressure
+from ..memory_budget import (
+    CONNECTION_BYTES,
+    MIN_INPUT_BYTES,
+    REFUSED_CONNECTION_BYTES,
+    Owner,
+    Pressure,
+)
 from .client import ClientActor
 from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, StopReading, TransferWhenIdle
 from .connection_ends import ConnectionEnds
-from .connection_state import EndReason
+from .connection_state import EndReason, Refusal
 from .listening import wait_for_listener
 from .pending_connections import PendingConnection, PendingConnections
 from .read_turns import ReadTurns
-from .refusal import refuse_connection
+from .refused_connection import RefusedConnection
 
-MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time
+MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time, without those that never stop sending
 CLIENT_SOCKETS_SHARE = 3 / 4  # of all sockets; the rest is for model hosts, the event bus and operators
 SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
-NO_PLACE = "no place for this connection"
+NO_PLACE = Refusal.NO_PLACE.value
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
@@ -43,8 +49,8 @@
     connection: PendingConnection
 
 
-class ConnectionRefused:
-    """The calls of a connection without a place were refused, and it was closed."""
+class RefusalEnded:
+    """The calls of a connection without a place were refused, and it has ended."""
 
 
 @dataclass(slots=True)
@@ -115,7 +121,7 @@
         self.memory.on_change = self.memory_pressure_changed
         self.turns = ReadTurns()
         self.ends = ConnectionEnds(log, core.metrics)
-        self.refused_connections = 0  # whose calls are being refused
+        self.refusing: dict[RefusedConnection, None] = {}  # connections whose calls are being refused
         self.pending = PendingConnections()
         self.stopping, self.all_closed = False, Event()
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
@@ -178,7 +184,7 @@
     def has_too_many_connections(self) -> bool:
         """Return whether as many connections wait as may, or clients use as many descriptors as they may."""
         waiting = self.waiting_connections()
-        in_use = len(self.clients) + len(self.pending) + self.refused_connections
+        in_use = len(self.clients) + len(self.pending) + len(self.refusing)
         most = int(self.limits.sockets * CLIENT_SOCKETS_SHARE)
         return waiting >= self.limits.pending_connections() or in_use >= most
 
@@ -188,29 +194,41 @@
 
     def may_refuse_connections(self) -> int:
         """Return of how many further connections the calls may be refused at the moment."""
-        return max(0, MAX_REFUSED_CONNECTIONS - self.refused_connections)
+        is_short = self.memory.free(Owner.CONNECTIONS) < REFUSED_CONNECTION_BYTES
+        counted = sum(is_short or not connection.is_long for connection in self.refusing)
+        return max(0, MAX_REFUSED_CONNECTIONS - counted)
 
-    def refuse_connection(self, connection: PendingConnection) -> None:
+    def refuse_connection(self, connection: PendingConnection, reason: str = NO_PLACE) -> None:
         """Refuse the calls of a connection that gets no place, in a greenlet of its own."""
-        self.refused_connections += 1
-        spawn(self.log, f"refusal {connection.name}", lambda: self.run_refusal(connection))
-
-    def run_refusal(self, connection: PendingConnection) -> None:
-        """Refuse the calls of a connection until no more come, and close it."""
-        backoff_ms = self.maker.settings.max_retry_after
-        try:
-            count = refuse_connection(connection.sock, NO_PLACE, backoff_ms, connection.is_first_refused)
-            text = f"{len(self.clients)} connections are open, {count} further calls of it are refused"
-            self.log("too-many-clients", f"{connection.name}: {text}")
-        finally:
-            self.refused_connections -= 1
-            self.ends.record(connection.name, EndReason.PLACE, (), "")
-            self.ends.close(connection.sock)
-            self.try_send(ConnectionRefused())
+        refused = RefusedConnection(
+            connection,
+            reason,
+            self.maker.settings.max_retry_after,
+            self.limits,
+            self.log,
+            self.memory,
+            self.turns,
+            self.ends,
+        )
+        self.refusing[refused] = None
+        self.memory.charge(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
+        spawn(self.log, f"refusal {connection.name}", refused.run, lambda: self.refusal_ended(refused))
+
+    def refusal_ended(self, refused: RefusedConnection) -> None:
+        """Forget a connection whose calls were refused, and which has ended."""
+        text = f"{len(self.clients)} connections are open, {refused.refused_calls} further calls of it"
+        self.log("too-many-clients", f"{refused.name}: {text} are refused")
+        del self.refusing[refused]
+        self.memory.release(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
+        self.try_send(RefusalEnded())
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
-        return [client.sock for client in self.clients] + self.pending.sockets()
+        return [
+            *(client.sock for client in self.clients),
+            *(connection.sock for connection in self.refusing),
+            *self.pending.sockets(),
+        ]
 
     @property
     def hard_limit(self) -> int:
@@ -314,7 +332,7 @@
                 self.finished = acceptor.fileno() >= 0
             case StopListening():
                 self.stop_listening()
-        is_busy = self.clients or self.pending or self.running_acceptors or self.refused_connections
+        is_busy = self.clients or self.pending or self.running_acceptors or self.refusing
         if self.stopping and not (is_busy or self.mailbox):
             self.all_closed.set()
 
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -2,26 +2,18 @@
 
 from __future__ import annotations
 
-import contextlib
 import re
 from typing import Any
 
-import gevent
 import msgspec
-from gevent import socket
 
-from ..core.clock import now_ms
 from .jsonrpc import REFUSED, BadRequestError, decode_message
 from .line_skimmer import LineSkimmer
 
 CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
 GIVE_UP_METHOD = "giveUp"
 CALL_MEMBER, ID_MEMBER = b"method", b'"id"'  # in each call
-READ_BYTES = 4 * 1024  # at a time
 MAX_START_BYTES = 128  # of a line, which tell its id if it stands at the usual place
-QUIET_S = 0.05  # without a byte, after which the calls of a refused connection have been read
-READ_EACH_MS = 5.0  # between reads, for those that are served
-MAX_REFUSING_MS = 1000.0  # for one connection
 
 
 def may_want_answer(line: bytes) -> bool:
@@ -78,22 +70,3 @@
             return []
         self.skimmer.is_answered = True
         return [int(head[1])]
-
-
-def refuse_connection(
-    sock: socket.socket, reason: str, backoff_ms: float, is_first_answered: bool = False
-) -> int:
-    """Refuse the calls that come on a connection without an actor, until none has come for a moment.
-
-    Returns how many were refused. The caller closes the socket: a close before the client's bytes are read
-    would take the refusals away from it. The first call may have been refused already.
-    """
-    sock.settimeout(QUIET_S)
-    count, reader, give_up_at = 0, CallReader(is_first_answered), now_ms() + MAX_REFUSING_MS
-    with contextlib.suppress(OSError):
-        while now_ms() < give_up_at and (data := sock.recv(READ_BYTES)):
-            ids = reader.feed(data)
-            sock.sendall(b"".join(encode_refusal(id, reason, backoff_ms) for id in ids))
-            count += len(ids)
-            gevent.sleep(READ_EACH_MS / 1000)
-    return count
--- /dev/null
+++ b/harrieryoke/net/refused_connection.py
@@ -0,0 +1,128 @@
+"""A connection that gets no place: its calls are refused for as long as some come, then it is closed."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from ..core.clock import now_ms
+from ..limits import Limits
+from ..log import Log
+from ..memory_budget import MemoryBudget
+from .connection_ends import ConnectionEnds
+from .connection_state import ConnectionState, EndReason
+from .outgoing import OutgoingQueue
+from .pending_connections import PendingConnection
+from .read_turns import ReadTurns
+from .refusal import CallReader, encode_refusal
+from .unread import InputState, has_hung_up, input_state
+
+READ_BYTES = 4 * 1024  # at a time
+QUIET_MS = 50.0  # without a byte, after which the calls of the connection have been read
+SHORT_QUIET_MS = 2.0  # the same for a client that goes on and on; what was sent before has arrived then
+READ_EACH_MS = 5.0  # between reads, for those that are served
+LONG_MS = 1000.0  # after which a client that still sends takes turns with other loud ones
+HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while nothing is read
+
+
+class RefusedConnection:
+    """Refuses the calls of one connection without holding them, and ends it between two calls.
+
+    It is read only while no refusal waits for the client. The first call may have been refused before.
+    """
+
+    def __init__(
+        self,
+        connection: PendingConnection,
+        reason: str,
+        backoff_ms: float,
+        limits: Limits,
+        log: Log,
+        memory: MemoryBudget,
+        turns: ReadTurns,
+        ends: ConnectionEnds,
+    ) -> None:
+        self.sock, self.name = connection.sock, connection.name
+        self.reason, self.backoff_ms = reason, backoff_ms
+        self.turns, self.ends = turns, ends
+        self.reader, self.state = CallReader(connection.is_first_refused), ConnectionState()
+        self.started_at, self.refused_calls = now_ms(), 0
+        self.drained = Event()
+        self.sock.settimeout(limits.write_ms / 1000)
+        self.outgoing = OutgoingQueue(
+            self.sock, self.name, 0, log, self.drained.set, self.end, memory, self.state
+        )
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the client has been sending for long."""
+        return now_ms() - self.started_at > LONG_MS
+
+    def run(self) -> None:
+        """Refuse what comes until the connection has ended."""
+        try:
+            while self.state.ended is None:
+                if self.state.may_read():
+                    self.read_on()
+                else:
+                    self.wait_until_drained()
+        except OSError as error:
+            self.end(EndReason.CLIENT_LEFT, str(error))
+        finally:
+            if self.state.ended is None:
+                self.end(EndReason.FAULT, "its greenlet has died")
+
+    def read_on(self) -> None:
+        """Refuse the calls of one read, or end the connection if nothing came. Raises OSError."""
+        if not self.wait_for_data():
+            if self.state.may_end(EndReason.PLACE, input_state(self.sock) is InputState.UNREAD):
+                self.end(EndReason.PLACE)
+        elif self.is_long:
+            with self.turns.turn():
+                self.refuse_some()
+                gevent.sleep(0)
+        else:
+            self.refuse_some()
+            gevent.sleep(READ_EACH_MS / 1000)
+
+    def wait_for_data(self) -> bool:
+        """Wait for data or the end of the stream; return False if there is none for a moment."""
+        quiet_ms = SHORT_QUIET_MS if self.is_long else QUIET_MS
+        if input_state(self.sock) is InputState.EMPTY:
+            with gevent.Timeout(quiet_ms / 1000, False):
+                self.sock.recv(1, socket.MSG_PEEK)
+        return input_state(self.sock) is not InputState.EMPTY
+
+    def refuse_some(self) -> None:
+        """Read once, and refuse the calls that end in it. Raises OSError."""
+        if self.state.ended is not None:
+            return
+        data = self.sock.recv(READ_BYTES)
+        if not data:
+            return self.end(EndReason.CLIENT_LEFT)
+        for id in self.reader.feed(data):
+            self.refused_calls += 1
+            self.outgoing.put(encode_refusal(id, self.reason, self.backoff_ms), is_answer=True)
+
+    def wait_until_drained(self) -> None:
+        """Wait until the client has taken the refusals, or has left."""
+        self.drained.clear()
+        self.drained.wait(HANG_UP_POLL_MS / 1000)
+        if has_hung_up(self.sock):
+            self.end(EndReason.CLIENT_LEFT)
+
+    def owed_calls(self) -> list[str]:
+        """Return the refusals that the kernel has not accepted."""
+        return [f"unsent refusal {n}" for n in range(1, self.state.unsent_answers + 1)]
+
+    def end(self, reason: EndReason, detail: str = "") -> None:
+        """Record the end of the connection, and close it; asked for again, it does nothing."""
+        if self.state.ended is not None:
+            return
+        owed = self.owed_calls()
+        self.state.connection_ended(reason)
+        self.outgoing.close()
+        self.ends.record(self.name, reason, owed, detail)
+        self.ends.close(self.sock)
+        self.drained.set()
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import weakref
+from collections.abc import Sized
 from contextlib import closing
 from pathlib import Path
 
@@ -336,7 +337,8 @@
     front = Front(sockets=64)
     clients = [front.connect(START) for _ in range(60)]
     gevent.sleep(0.1)  # none has stalled yet
-    assert len(front.front.clients) + len(front.front.pending) + front.front.refused_connections <= 48 + 1
+    connections: list[Sized] = [front.front.clients, front.front.pending, front.front.refusing]
+    assert sum(len(group) for group in connections) <= 48 + 1
     for sock in clients:
         sock.close()
 
--- /dev/null
+++ b/tests/test_refused_connection.py
@@ -0,0 +1,82 @@
+"""Connections that get no place: each call on them that came whole is refused before they end."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+from gevent import socket
+
+from harrieryoke.core.clock import now_ms
+from harrieryoke.net.connection_state import EndReason
+from harrieryoke.net.refused_connection import LONG_MS as LONG_REFUSAL_MS
+from harrieryoke.net.refused_connection import QUIET_MS
+
+from .clients import LONG_MS, TIMEOUT_S, Front, line, until
+
+FEW_PLACES_BYTES = 3_000_000  # of the budget
+
+
+@contextmanager
+def without_places(write_ms: float = LONG_MS) -> Iterator[Front]:
+    """Yield a front whose places are all taken by clients with an open call."""
+    front = Front(write_ms=write_ms)
+    front.core.memory.resize(FEW_PLACES_BYTES)
+    held = [front.connect(line(n)) for n in range(front.front.hard_limit)]
+    until(lambda: len(front.core.calls) == len(held), "all places are taken")
+    yield front
+    for sock in held:
+        sock.close()
+    until(lambda: not front.front.clients, "all have left")
+    assert not front.log.totals.get("greenlet-died") and not front.core.metrics.end_faults
+
+
+def read_ids(sock: socket.socket) -> list[int]:
+    """Return the ids of all answers until the connection ends."""
+    return [json.loads(text)["id"] for text in sock.makefile("rb")]
+
+
+# Guards against a connection without a place that is closed after a time, whatever its client has sent.
+def test_client_that_goes_on_sending_gets_a_refusal_for_each_call() -> None:
+    with without_places() as front, socket.create_connection(front.address) as late:
+        late.settimeout(4 * TIMEOUT_S)
+        sent = 0
+
+        def send() -> None:
+            nonlocal sent
+            until(lambda: front.front.refusing, "its calls are refused")
+            stop_at = now_ms() + 1.5 * LONG_REFUSAL_MS
+            while now_ms() < stop_at:
+                late.sendall(line(9000 + sent))
+                sent += 1
+                gevent.sleep(0.001)
+
+        late.sendall(line(8999))
+        sending = gevent.spawn(send)
+        answered = read_ids(late)
+        sending.join()
+        assert sending.successful() and answered == list(range(8999, 9000 + sent))
+
+
+# Guards against a connection without a place that is closed as its client reads nothing for a moment.
+def test_client_that_pauses_reading_gets_a_refusal_for_each_call() -> None:
+    with without_places() as front, front.connect() as late:
+        late.settimeout(4 * TIMEOUT_S)
+        ids = range(9000, 10000)
+        sending = gevent.spawn(late.sendall, b"".join(map(line, ids)))
+        until(lambda: any(c.state.unsent_answers for c in front.front.refusing), "refusals wait for it")
+        gevent.sleep(5 * QUIET_MS / 1000)
+        assert read_ids(late) == list(ids) and sending.successful()
+
+
+# Guards against connections without a place that are held for good by clients that never read.
+def test_client_that_never_reads_its_refusals_loses_its_connection_after_the_write_timeout() -> None:
+    with without_places(write_ms=200.0) as front, front.connect() as late:
+        sending = gevent.spawn(late.sendall, b"".join(map(line, range(9000, 10000))))
+        ends = front.core.metrics.connection_ends
+        until(lambda: ends[EndReason.NOTHING_ACCEPTED.value], "it has ended")
+        assert front.core.metrics.calls_owed[EndReason.NOTHING_ACCEPTED.value] > 0
+        assert not front.front.refusing and front.log.totals["calls-dropped"] == 1
+        sending.kill()
