Refuse calls of connections that wait for a place before the process exits, and record them

What callers saw: as a process stops, connections that still waited for a place, and those whose refusals the client had not taken yet, ended with the process. Their calls had no answer, and no line or figure named them.

Cause: `stop_reading` and `record_remaining` went over the clients with a place alone.

Why it works: at the end of a stop the waiting ones are refused like those without a place; what is left as the process exits is recorded with the calls that it owes, and is a fault if there are any.

Tests: tests/test_refused_connection.py, the last two failed before: no refusal, and one end recorded too few.

--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -10,7 +10,7 @@
 
 from ..core.clock import now_ms
 from ..memory_budget import MAX_PLACE_WAIT_MS
-from .refusal import CALL_MEMBER, CALL_START, encode_refusal
+from .refusal import CALL_MEMBER, CALL_START, CallReader, encode_refusal
 from .unread import has_hung_up, ms_since_data, peek, send_now
 
 BUDGET = re.compile(rb'"budget"\s*:\s*(\d{1,9})')  # of a call, in milliseconds
@@ -57,6 +57,10 @@
         if (start := CALL_START.match(peek(self.sock, LOOKED_AT_BYTES))) is not None:
             self.is_first_refused = send_now(self.sock, encode_refusal(int(start[1]), reason, backoff_ms))
 
+    def unread_calls(self) -> list[str]:
+        """Return a name for each whole call that has come and has no answer."""
+        return [f"unread call {id}" for id in CallReader(self.is_first_refused).feed(peek(self.sock))]
+
 
 class PendingConnections:
     """The queue of connections for the next free places."""
@@ -106,6 +110,12 @@
             self.waiting.remove(connection)
         return left
 
+    def take_all(self) -> list[PendingConnection]:
+        """Remove and return all of them."""
+        connections = list(self.waiting)
+        self.waiting.clear()
+        return connections
+
     def take(self, connection: PendingConnection) -> None:
         """Remove a connection."""
         self.waiting.remove(connection)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -348,15 +348,26 @@
             self.close_when_idle(client, EndReason.STOPPING)
 
     def stop_reading(self) -> None:
-        """Have the clients that are left refuse what was read, and read no more: the process ends soon."""
+        """Have the clients that are left refuse what was read, and read no more: the process ends soon.
+
+        The calls of connections that still wait for a place are refused, too.
+        """
         for client in self.clients:
             client.send_bounded(StopReading())
+        for connection in self.pending.take_all():
+            self.refuse_connection(connection, Refusal.STOPPING.value)
 
     def record_remaining(self) -> None:
         """Record the connections that end with the process."""
         for client in list(self.clients):
             if not client.finished:
                 client.stop_serving(EndReason.STOPPING, client.owed_calls(), "the process exits")
+        for refused in list(self.refusing):
+            refused.end(EndReason.STOPPING, "the process exits")
+        for connection in self.pending.take_all():
+            owed = connection.unread_calls()
+            self.ends.record(connection.name, EndReason.STOPPING, owed, "no place until the process exits")
+            self.ends.close(connection.sock)
 
     def accept_backlog(self) -> None:
         """Accept the connections in the kernel's backlog, which a close would reset.
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 
 import gevent
+import pytest
 from gevent import socket
 
 from harrieryoke.core.clock import now_ms
@@ -80,3 +81,33 @@
         assert front.core.metrics.calls_owed[EndReason.NOTHING_ACCEPTED.value] > 0
         assert not front.front.refusing and front.log.totals["calls-dropped"] == 1
         sending.kill()
+
+
+# Guards against connections that wait for a place, whose calls have no answer as the process exits.
+@pytest.mark.parametrize("is_being_refused", [False, True])
+def test_calls_of_connections_without_a_place_are_refused_before_the_process_exits(
+    is_being_refused: bool,
+) -> None:
+    with without_places() as front, front.connect(line(9000)) as late:
+        until(lambda: front.front.pending, "it waits")
+        if is_being_refused:
+            (connection,) = front.front.pending.take_all()
+            front.front.refuse_connection(connection)
+        front.front.stop_reading()
+        assert read_ids(late) == [9000]
+
+
+# Guards against ends of waiting connections at the exit that are recorded as owing nothing.
+@pytest.mark.usefixtures("expects_end_faults")
+def test_calls_of_a_connection_that_waits_at_the_exit_are_reported() -> None:
+    front = Front()
+    front.core.memory.resize(FEW_PLACES_BYTES)
+    served = [front.connect(line(n)) for n in range(front.front.hard_limit)]
+    until(lambda: len(front.core.calls) == len(served), "all places are taken")
+    with front.connect(line(9000) + line(9001)):
+        until(lambda: front.front.pending, "it waits")
+        front.front.record_remaining()
+    assert front.core.metrics.end_faults == len(served) + 1
+    assert front.core.metrics.calls_owed[EndReason.STOPPING.value] == len(served) + 2
+    for sock in served:
+        sock.close()
