Keep the link to the event bus while the memory is used up

What callers saw: beside clients that take all the memory, the invoker lost its event bus several times a second and learned of no host that drained or left until the memory was free again.

Cause: after each read the follower reserved the partial line, also one of no bytes; with more in use than the budget has, the reservation of 0 bytes failed, and the link was ended.

Why it works: a line of up to 64 KB may be read under any pressure, and is charged; there is one link to the bus. Longer ones still need the memory.

Test: test_news_of_the_bus_come_through_while_the_memory_is_used_up, failed before (a time-out).

--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -25,6 +25,7 @@
 MIN_INPUT_BYTES = 6 * 1024  # that a client may have unhandled under any pressure: an ordinary request
 LINES_SHARE = 0.65  # of the budget without the reserve, up to which the rest of a long line may be reserved
 FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
+MIN_LINE_OF_LIST_BYTES = 64 * 1024  # of discovery, that may be read under any pressure
 CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
 CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
 REFUSED_CONNECTION_BYTES = 12 * 1024  # of one whose calls are refused: greenlet, socket
@@ -155,6 +156,16 @@
         """Charge so many bytes for as long as the returned object lives; None if that is not allowed."""
         return Reservation(self, owner, size) if self.try_charge(owner, size) else None
 
+    def reserve_line_of_list(self, size: int) -> Reservation | None:
+        """Charge a partial line of discovery; None if it is a long one and there is no memory for it.
+
+        The news of hosts that drain must come through whatever clients do.
+        """
+        if size > MIN_LINE_OF_LIST_BYTES:
+            return self.reserve(Owner.LISTS, size)
+        self.charge(Owner.LISTS, size)
+        return Reservation(self, Owner.LISTS, size)
+
     def update_pressure(self) -> None:
         """Follow the use with the level; a level ends a little below where it began."""
         level, share = Pressure.NONE, self.held() / self.common
--- a/harrieryoke/net/bus_follower.py
+++ b/harrieryoke/net/bus_follower.py
@@ -13,7 +13,7 @@
 from ..core.clock import now_ms
 from ..limits import Limits
 from ..log import Log
-from ..memory_budget import MemoryBudget, Owner
+from ..memory_budget import MemoryBudget
 from .heartbeats import Heartbeats
 from .hostlist_model import (
     EventReceived,
@@ -187,7 +187,7 @@
                 return
             lines = buffer.feed(data, now_ms())
             del reservation
-            reservation = self.memory.reserve(Owner.LISTS, len(buffer.partial))
+            reservation = self.memory.reserve_line_of_list(len(buffer.partial))
             if reservation is None:
                 raise ValueError(f"no memory for its line: {self.memory.describe()}")
             for line in lines:
--- a/tests/test_discovery_crossings.py
+++ b/tests/test_discovery_crossings.py
@@ -22,6 +22,7 @@
 from harrieryoke.core.metrics import Metrics
 from harrieryoke.core.records import WorkerListConfirmed, WorkersChanged
 from harrieryoke.limits import Limits
+from harrieryoke.memory_budget import MemoryBudget, Owner
 from harrieryoke.log import Log
 from harrieryoke.net import bus_follower
 from harrieryoke.net.bus_follower import AddressChanged, BusFollower, LineBuffer, LineReceived
@@ -105,8 +106,9 @@
         self.confirmed: list[float] = []
         self.accepting.set()
         address = self.bus.listening.getsockname()[:2]
+        self.memory = MemoryBudget(1 << 20)
         self.follower = BusFollower(
-            address, last_offset, replace(Limits(), **changed), self.log, self.receive
+            address, last_offset, replace(Limits(), **changed), self.log, self.receive, self.memory
         )
         self.follower.start()
 
@@ -147,6 +149,21 @@
         watched.end()
 
 
+# Guards against a link to the event bus that is lost while clients take all the memory (issue 61).
+def test_news_of_the_bus_come_through_while_the_memory_is_used_up(watch: Callable[..., WatchedBus]) -> None:
+    w = watch()
+    assert w.bus.accept_request() == "from 1"
+    w.memory.measure_with(lambda: 2 * w.memory.total, 0)
+    w.bus.conn.sendall(b"1\n")
+    w.until(lambda: w.confirmed)
+    event = b'{"offset":2,"topology":{"version":2,"full":true,"servers":[]},"note":"%s"}\n' % (b"x" * 30_000)
+    w.bus.conn.sendall(event[:20_000])
+    gevent.sleep(0.05)
+    w.bus.conn.sendall(event[20_000:] + b"2\n")
+    w.until(lambda: w.offsets() == [2])
+    assert not w.log.of_kind("bus-lost") and w.memory.used[Owner.LISTS] == 0
+
+
 @pytest.mark.parametrize("data", [b"1", b"\n", b" \n", b"{"])
 def test_a_bus_that_sends_bytes_but_no_complete_line_is_reconnected(
     watch: Callable[..., WatchedBus], data: bytes
