Offer clients whole segments in small receive windows, so that no rest of a line waits for a timer

What callers saw: at 32 MB a steady client had its answers late or never, 21 of 495 calls of 20 clients in 8 s (17 over half a second after their time, one or two never), p99 3.1 to 3.4 s where 0.07 is usual. All were on one connection of 20, also without any loud client.

Cause: with small receive buffers (58) the window is 2,304 bytes at first and 2,160 later. The client's kernel takes half of the largest window for a segment (1,152) and sends less only after its persist timer (200 ms and more). Linux offers windows in multiples of the largest segment that came. After a line of 1,081 to 1,151 bytes that is one such segment, less than the client's, for good: each longer line waits for the timer, piece by piece.

Ruled out by plays of the kernel alone: the peeks, the delay of reads.

Why it works: the listening socket announces segments of a quarter of the buffer, so that a window holds several, and what is free is at least one of them whenever the client is to send on. Half of it is not enough (the test).

--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -37,6 +37,7 @@
 MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time, without those that never stop sending
 CLIENT_SOCKETS_SHARE = 3 / 4  # of all sockets; the rest is for model hosts, the event bus and operators
 SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
+SEGMENTS_IN_WINDOW = 4  # of a client's receive buffer
 NO_PLACE = Refusal.NO_PLACE.value
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
@@ -98,7 +99,11 @@
 
 
 def limit_buffers(listening: socket.socket, limits: Limits) -> None:
-    """Give the connections that are accepted here socket buffers of the sizes that the memory allows."""
+    """Give the connections that are accepted here socket buffers of the sizes that the memory allows.
+
+    A receive window holds several segments: the client's kernel would send less than a whole one only after a
+    timer, and this one offers none but whole segments.
+    """
     sizes = {
         socket.SO_RCVBUF: limits.receive_buffer_bytes(),
         socket.SO_SNDBUF: limits.send_buffer_bytes(),
@@ -106,6 +111,8 @@
     for option, size in sizes.items():
         if listening.getsockopt(socket.SOL_SOCKET, option) >= size:  # else it was given a smaller one
             listening.setsockopt(socket.SOL_SOCKET, option, size)
+    segment_bytes = limits.receive_buffer_bytes() // SEGMENTS_IN_WINDOW
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
 
 
 class PlatformFront(Actor):
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -38,13 +38,16 @@
 from harrieryoke.net.memory_monitor import REPORT_MS, MemoryMonitor
 from harrieryoke.net.platform import limit_buffers
 
-from .clients import TIMEOUT_S, Front, NullLog, connected, line, until
+from .clients import TIMEOUT_S, Front, NullLog, connected, line, read, until
 from .overload import BUDGET_MS
 from .scenario import Scene
 from .test_host_crossings import SteppedHost
 
 MEMORY_MB = st.integers(32, 1024)
 START = b'{"jsonrpc":"2.0","id":7,"method":"weight-read","params":{"blob":"'
+SHORT_LINE_BYTES, LONG_LINE_BYTES = 738, 3580  # the smallest receive buffer holds less than the long one
+PERSIST_TIMER_MS = 200.0  # of the kernel, before it sends less than it would at once
+DELAYED_ACK_S = 0.06  # until nothing of the call before is left to be acknowledged
 
 
 def fill(budget: MemoryBudget, size: int) -> None:
@@ -131,6 +134,26 @@
     assert (receive, send) == (2 * limits.receive_buffer_bytes(), 2 * limits.send_buffer_bytes())
 
 
+# Guards against a receive window that stays below what the client's kernel sends at once (issue 61): the
+# rest of each line then waits for a timer of 200 ms and more.
+def test_lines_longer_than_the_receive_buffer_arrive_without_a_pause() -> None:
+    front = Front(memory_mb=32)
+    front.core.answers = True
+    latencies = []
+
+    def call(size: int) -> None:
+        with front.connect() as sock:
+            for id, length in enumerate((SHORT_LINE_BYTES, size, LONG_LINE_BYTES), 10 * size):
+                gevent.sleep(DELAYED_ACK_S)
+                sent_at = now_ms()
+                sock.sendall(line(id).rstrip().ljust(length) + b"\n")
+                assert read(sock, 1)[0][0] == id
+                latencies.append(now_ms() - sent_at)
+
+    gevent.joinall([gevent.spawn(call, size) for size in range(300, 2300, 10)], raise_error=True)
+    assert max(latencies) < PERSIST_TIMER_MS
+
+
 # Guards against a model host whose unread answers fill the kernel's memory.
 def test_links_to_model_hosts_have_buffers_of_the_given_size() -> None:
     limits = Limits(memory_mb=64, write_ms=20000.0, silent_ms=20000.0)
