Have the functions that a loud connection has named give way before those of others

What callers saw: a client that calls each of its ever new names more than once displaced what the invoker knew of the functions of all others, whose next calls then met it without a known copy.

Evidence: the test, in which functions of steady clients are forgotten without the rule.

Why it works: each record keeps the connection that named it first. While the table is full, a connection with more than its share (the table through the connections that are in it) displaces its own; while memory is short, the one with most goes first.

--- a/harrieryoke/core/records.py
+++ b/harrieryoke/core/records.py
@@ -37,6 +37,7 @@
     watched_by_door: bool = False  # report its end to the door
     waited_for_load: bool = False  # its duration says nothing about the capacity of the hosts
     client: str = ""  # identity of the client at its front
+    source: str = ""  # the connection that it came on
     abandoned: bool = False  # the client has gone; set by the front, read by the senders
     started: bool = False  # the first byte of an attempt was written; set by the senders
     class_name: str = ""
--- a/harrieryoke/core/table.py
+++ b/harrieryoke/core/table.py
@@ -96,6 +96,7 @@
             call.cost_factors,
             call.latency_target,
             call.received_at or None,
+            call.source,
         )
 
     def withdraw(self, call: Call) -> i.RequestDropped | None:
--- a/harrieryoke/function_table.py
+++ b/harrieryoke/function_table.py
@@ -34,22 +34,24 @@
     return (len(state.functions) + state.stale_tasks) * function_bytes(len(state.workers))
 
 
-def make_room(state: RoutingState, settings: Settings) -> None:
-    """Forgets functions if the table is full: those that one request has named, then those unused longest.
+def make_room(state: RoutingState, settings: Settings, source: str) -> None:
+    """Forgets functions if the table is full, for one more that a request of `source` names.
 
-    So a client that calls ever new names displaces its own. Functions with a waiting request, an attempt or
-    an order in progress stay; the bounds on open requests and on orders bound them.
+    A source with more than its share of the table displaces its own. Otherwise those go that one request has
+    named, then those unused longest. Functions with a waiting request, an attempt or an order in progress
+    stay; the bounds on open requests and on orders bound them.
     """
     limit = allowed_functions(state, settings)
     if len(state.functions) >= limit:
-        forget_cheapest(state, limit, FORGOTTEN_AT_ONCE)
+        forget_cheapest(state, limit, FORGOTTEN_AT_ONCE, source)
 
 
 def shrink(state: RoutingState, settings: Settings) -> None:
     """Forgets a part of the functions beyond the limit, as `make_room` does; for each round of events."""
     limit = allowed_functions(state, settings)
     if (excess := len(state.functions) - limit) > 0:
-        forget_cheapest(state, limit, min(excess, FORGOTTEN_IN_ROUND))
+        largest = max(state.by_source, key=lambda source: len(state.by_source[source]))
+        forget_cheapest(state, limit, min(excess, FORGOTTEN_IN_ROUND), largest)
 
 
 def allowed_functions(state: RoutingState, settings: Settings) -> int:
@@ -58,8 +60,14 @@
     return max(1, int(limit * SHORT_MEMORY_SHARE)) if state.memory_is_short else limit
 
 
-def forget_cheapest(state: RoutingState, limit: int, count: int) -> None:
-    """Forgets so many functions at most: of a single request while these have more than their share."""
+def forget_cheapest(state: RoutingState, limit: int, count: int, source: str) -> None:
+    """Forgets so many functions at most: first of `source`, if it has more than its share.
+
+    Then those of a single request, while these have more than theirs.
+    """
+    of_source, sources = state.by_source.get(source, {}), len(state.by_source)
+    if sources > 1 and len(of_source) > limit / sources and forget_oldest(state, of_source, count):
+        return
     many_used_once = len(state.used_once) >= limit * USED_ONCE_SHARE
     if not (many_used_once and forget_oldest(state, state.used_once, count)):
         forget_oldest(state, state.functions, count)
--- a/harrieryoke/interface.py
+++ b/harrieryoke/interface.py
@@ -229,6 +229,7 @@
     cost_factors: Mapping[int, float] | None = None  # advice: worker -> factor on its cost; above 1 avoids it
     latency_target: float | None = None  # advice: a target shorter than the class's
     received_at: float | None = None  # time of arrival, if before the current round of events
+    source: str = ""  # the connection that it came on; what it has named gives way before what others have
 
 
 @dataclass(frozen=True, slots=True)
--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -447,6 +447,7 @@
                 parse_props(call_params.props),
             )
             call.client, call.class_name, call.origin = self.peer, method, self
+            call.source = self.client
             call.prop_count = call_params.props.count(PROP_SEPARATOR) + 1
             return call
         except (msgspec.MsgspecError, InvalidCallError, ValueError) as error:
--- a/harrieryoke/router.py
+++ b/harrieryoke/router.py
@@ -276,6 +276,7 @@
             function = Function(
                 event.function, digest(event.function), event.class_index, load_time, mean_duration
             )
+            function.source = event.source
             self.add_function(function)
             self.used_once[function.name] = function
         else:
@@ -302,8 +303,8 @@
 
     def add_function(self, function: Function) -> None:
         """Adds a function to the table, and has those long unused looked for."""
-        make_room(self, self.settings)
-        self.functions[function.name] = function
+        make_room(self, self.settings, function.source)
+        self.remember_function(function)
         if not self.sweep_scheduled:
             self.sweep_scheduled = True
             self.schedule(self.settings.keep_alive, self.sweep_functions, None)
--- a/harrieryoke/state.py
+++ b/harrieryoke/state.py
@@ -136,6 +136,7 @@
     maintenance_scheduled: bool = False  # of its copies
     has_history: bool = False  # a copy was known at some time
     forgotten: bool = False  # no longer in the table of functions
+    source: str = ""  # of the request that named it first
     copies: dict[int, Copy] = field(default_factory=dict)
     own_in_flight: dict[int, int] = field(default_factory=dict)  # by worker
     pending_orders: dict[int, float] = field(default_factory=dict)  # worker -> time of the order
@@ -201,6 +202,7 @@
         self.workers: dict[int, Worker] = {}
         self.functions: dict[str, Function] = {}  # in the order of their last use
         self.used_once: dict[str, Function] = {}  # those that only one request has named, in that order
+        self.by_source: dict[str, dict[str, Function]] = {}  # each source's functions, in that order
         self.with_copies: dict[str, Function] = {}  # each that has copies, and some that had
         self.sweep_scheduled = False  # of functions long unused
         self.memory_is_short = False
@@ -332,12 +334,22 @@
     def use_function(self, function: Function) -> None:
         """Records a use of the function now."""
         function.last_used = self.now - self.total_idle_time
-        self.functions[function.name] = self.functions.pop(function.name)
+        for table in (self.functions, self.by_source[function.source]):
+            table[function.name] = table.pop(function.name)
+
+    def remember_function(self, function: Function) -> None:
+        """Adds a function to the table."""
+        self.functions[function.name] = function
+        self.by_source.setdefault(function.source, {})[function.name] = function
 
     def forget_function(self, function: Function) -> None:
         """Removes a function, unless it is the last one: a query to an ejected worker has to name one."""
         if len(self.functions) > 1 and not function.forgotten:
             del self.functions[function.name]
+            of_source = self.by_source[function.source]
+            del of_source[function.name]
+            if not of_source:
+                del self.by_source[function.source]
             self.used_once.pop(function.name, None)
             self.with_copies.pop(function.name, None)
             function.forgotten = True
--- a/tests/test_function_table.py
+++ b/tests/test_function_table.py
@@ -38,10 +38,10 @@
         self.router, self.now, self.last = Router(SMALL, 1), 1000.0, 0
         self.router.handle(self.now, [WorkersListed(ListScope.REMEMBERED, workers(WORKERS))])
 
-    def ask(self, name: str, outcome: Outcome, withdrawn: bool) -> None:
+    def ask(self, name: str, outcome: Outcome, withdrawn: bool, source: str = "") -> None:
         self.last += 1
         self.now += 3.0
-        arrival = RequestArrived(self.last, 0, name, self.now + 2000, None, None, 400, 4, 100)
+        arrival = RequestArrived(self.last, 0, name, self.now + 2000, None, None, 400, 4, 100, source=source)
         actions = self.router.handle(self.now, [arrival])
         if withdrawn:
             actions += self.router.handle(self.now + 1, [RequestDropped(self.last)])
@@ -125,6 +125,31 @@
     assert {"a", "b"} <= names.router.functions.keys() and len(names.router.functions) <= limit
 
 
+# Guards against a client that calls each of its new names several times and so displaces those of others.
+def test_names_of_a_loud_source_displace_its_own_and_not_those_of_others() -> None:
+    names, limit = Names(), max_functions(SMALL, WORKERS)
+    for name in ("a", "a", "b", "b"):
+        names.ask(name, Outcome.OK, withdrawn=False, source=f"steady {name}")
+    for n in range(3 * limit):
+        for _ in range(3):
+            names.ask(f"{n:016x}", Outcome.OK, withdrawn=False, source="loud")
+    router = names.router
+    assert {"a", "b"} <= router.functions.keys() and limit - 1 <= len(router.functions) <= limit
+    router.handle(names.now, [MemoryPressureChanged(True)])
+    assert {"a", "b"} <= router.functions.keys() and len(router.functions) == limit // 2
+
+
+# Guards against sources that are remembered longer than what they have named.
+@given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 5)), max_size=80))
+def test_sources_are_forgotten_with_their_functions(asked: list[tuple[int, int]]) -> None:
+    names = Names()
+    for function, source in asked:
+        names.ask(f"{function}", Outcome.OK, withdrawn=False, source=f"{source}")
+    router = names.router
+    of_sources = [name for table in router.by_source.values() for name in table]
+    assert sorted(of_sources) == sorted(router.functions) and all(router.by_source.values())
+
+
 # Guards against a table that keeps its size while clients are refused for want of memory.
 def test_functions_give_way_while_the_memory_is_short_and_may_come_back() -> None:
     names, limit = Names(), max_functions(SMALL, WORKERS)
