Draw crowds of loud clients in the judge of overload, and name the seeds whose latency doubled

It now draws 1, 8 or 100 of them (most often one). Of a crowd, lost and doubled answers are judged; not what is unanswered after 4 s, as it sends more than can be answered, nor the ends of idle connections, which give way to new ones. The run names the seeds whose p99 of steady clients more than doubled beside the one measured before; that is no verdict, as the machine may have other work.

Seeds name other scenarios than before only in the count of loud clients.

--- a/harrieryoke/lab/judge/__main__.py
+++ b/harrieryoke/lab/judge/__main__.py
@@ -10,15 +10,19 @@
 
 def main() -> int:
     """Play the seeds of the command line."""
-    broken_seeds = []
+    broken_seeds, slowed_seeds = [], []
     for word in sys.argv[1:]:
         verdict = play(draw(int(word)))
-        broken = verdict.broken_rules()
+        rules = verdict.broken_rules()
         print(f"seed {word}: {verdict.scenario}\n  {verdict.describe()}", flush=True)
-        if broken:
+        if rules:
             broken_seeds.append(word)
-            print(f"  BROKEN: {'; '.join(broken)}", flush=True)
-    print(f"{len(sys.argv) - 1} seeds, broken: {' '.join(broken_seeds) or 'none'}")
+            print(f"  BROKEN: {'; '.join(rules)}", flush=True)
+        if slowed_ms := verdict.slowed_ms():
+            slowed_seeds.append(word)
+            print(f"  SLOWED: p99 {slowed_ms:.0f} ms is more than twice that before")
+    broken, slowed = (" ".join(seeds) or "none" for seeds in (broken_seeds, slowed_seeds))
+    print(f"{len(sys.argv) - 1} seeds, broken: {broken}; p99 more than doubled: {slowed}")
     return 1 if broken_seeds else 0
 
 
--- a/harrieryoke/lab/judge/clients.py
+++ b/harrieryoke/lab/judge/clients.py
@@ -22,6 +22,7 @@
 RECEIVE_BYTES = 65536
 RESET_AT_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger
 BUDGETS_MS = (530.0, 600.0, 690.0, 800.0, 920.0)
+LOUD_SEED_STEP = 1_000_000  # between the loud clients of a play
 KEYED_EACH = 3  # one in so many steady calls is keyed
 
 
@@ -240,15 +241,24 @@
         connection.sock.close()
 
 
+def run_loud(order: LoudOrder) -> ClientRecord:
+    """Run the loud clients; return what they report in all."""
+    seeds = [order.seed + LOUD_SEED_STEP * n for n in range(order.loud.clients)]
+    clients = [LoudClient(order.address, order.loud, seed) for seed in seeds]
+    gevent.joinall([gevent.spawn(client.run, order.seconds) for client in clients], raise_error=True)
+    record = ClientRecord()
+    for client in clients:
+        record.add(client.record)
+    return record
+
+
 def main() -> None:
     """Run the part that the first argument names; the second holds its parameters as JSON."""
     part, parameters = sys.argv[1], sys.argv[2]
     print("started", flush=True)
     if part == "loud":
         order: LoudOrder = msgspec.json.decode(parameters, type=LoudOrder)
-        loud = LoudClient(order.address, order.loud, order.seed)
-        loud.run(order.seconds)
-        records = [loud.record]
+        records = [run_loud(order)]
     else:
         steady_order: SteadyOrder = msgspec.json.decode(parameters, type=SteadyOrder)
         steady = SteadyClients(steady_order.address, steady_order.steady, steady_order.seed)
--- a/harrieryoke/lab/judge/play.py
+++ b/harrieryoke/lab/judge/play.py
@@ -35,6 +35,7 @@
 KILL_AFTER_S = 3.7  # after SIGTERM
 WARM_UP_S, YARDSTICK_S = 1.0, 2.0
 FUNCTIONS_FIGURE = 'invoker_memory_bytes{owner="functions"}'
+P99 = 0.99
 PART_TIMEOUT_S = 60.0  # beyond the play
 
 
@@ -78,24 +79,34 @@
         return broken
 
     def broken_by_loud(self, stops: bool) -> list[str]:
-        """Return what the loud client lost, as far as it stays and reads.
+        """Return what the loud clients lost, as far as they stay and read.
 
-        It has more calls open than the protocol allows: a stop need not wait for those that it can not read.
+        They have more calls open than the protocol allows: a stop need not wait for those that it can not
+        read. Several send more than can be answered while the play waits for it, and idle ones give way.
         """
-        loud = self.scenario.loud
+        loud, record = self.scenario.loud, self.loud
         if loud is None or loud.leaving is not Leaving.STAYS or loud.reading is Reading.NEVER:
             return []
         broken = []
-        if self.loud.lost_ages_ms and not stops:
-            broken.append(f"loud: {len(self.loud.lost_ages_ms)} calls lost")
-        if self.loud.ended and not stops:
-            broken.append(f"loud: {self.loud.ended} connections ended")
-        if self.loud.unanswered and not stops:
-            broken.append(f"loud: {self.loud.unanswered} calls without an answer")
-        if self.loud.doubled:
-            broken.append(f"loud: {self.loud.doubled} answers doubled")
+        if record.lost_ages_ms and not stops:
+            broken.append(f"loud: {len(record.lost_ages_ms)} calls lost")
+        if record.doubled:
+            broken.append(f"loud: {record.doubled} answers doubled")
+        if loud.clients == 1 and not stops:
+            if record.ended:
+                broken.append(f"loud: {record.ended} connections ended")
+            if record.unanswered:
+                broken.append(f"loud: {record.unanswered} calls without an answer")
         return broken
 
+    def slowed_ms(self) -> float:
+        """Return the steady clients' p99 if it more than doubled beside the loud ones, else 0.
+
+        That breaks no rule here: the yardstick is played before, and the machine may have other work since.
+        """
+        latency = self.kept.latency(P99)
+        return latency if latency > 2 * self.alone.latency(P99) else 0.0
+
     def describe(self) -> str:
         """Return the figures in one line."""
         resident = self.resident_mb or [0.0]
@@ -107,9 +118,9 @@
                 f"{record.late} late, {record.overdue} overdue, {len(record.lost_ages_ms)} lost, "
                 f"{record.unanswered} unanswered, "
                 f"{record.ended} of {record.connections} ended, p50 {record.latency(0.5):.0f} "
-                f"p99 {record.latency(0.99):.0f} ms"
+                f"p99 {record.latency(P99):.0f} ms"
             )
-        parts.append(f"alone p50 {self.alone.latency(0.5):.0f} p99 {self.alone.latency(0.99):.0f} ms")
+        parts.append(f"alone p50 {self.alone.latency(0.5):.0f} p99 {self.alone.latency(P99):.0f} ms")
         ends = {name[24:-1]: int(n) for name, n in self.figures.items() if "_ends{" in name and n}
         parts.append(f"ends {ends}")
         return "; ".join(parts)
--- a/harrieryoke/lab/judge/records.py
+++ b/harrieryoke/lab/judge/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 CROSSING_MS = 50.0  # a call sent so shortly before the end of an idle connection is sent again
 EARNING_MS = 50.0  # after its time an answer earns nothing
@@ -36,6 +36,11 @@
         else:
             self.crossing += len(ages)
 
+    def add(self, other: ClientRecord) -> None:
+        """Add what other clients report."""
+        for each in fields(self):
+            setattr(self, each.name, getattr(self, each.name) + getattr(other, each.name))
+
     def latency(self, share: float) -> float:
         """Return a quantile of the latencies, in milliseconds; 0 without any."""
         ordered = sorted(self.latencies_ms)
--- a/harrieryoke/lab/judge/scenario.py
+++ b/harrieryoke/lab/judge/scenario.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .lines import KINDS
@@ -13,6 +13,7 @@
 MAX_KINDS = 3  # of lines, in one play
 BURST_LINES = (1, 50, 200, 2000)
 PAUSE_S = (0.0, 0.0, 0.01, 0.05, 0.4)
+LOUD_CLIENTS = (1, 1, 1, 8, 100)  # 100 are more than there are places at 32 MB
 
 
 class Reading(Enum):
@@ -43,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Loud:
-    """The loud client: `kinds` of lines in turn, `burst` of them each `pause_s`."""
+    """Loud clients: each sends `kinds` of lines in turn, `burst` of them each `pause_s`."""
 
     kinds: tuple[str, ...]
     burst: int
@@ -51,6 +52,7 @@
     reading: Reading = Reading.ALWAYS
     leaving: Leaving = Leaving.STAYS
     body_bytes: int = 300
+    clients: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,4 +92,6 @@
     )
     steady = Steady(clients=rng.choice((5, 20, 60)), rate_s=3.0, body_bytes=rng.choice(BODY_BYTES))
     signal = rng.choice([Signal.NONE, Signal.NONE, Signal.NONE, *Signal])
-    return Scenario(seed, rng.choice(MEMORY_MB), seconds, loud, steady, signal, warm=rng.random() < 0.75)
+    memory_mb, warm = rng.choice(MEMORY_MB), rng.random() < 0.75
+    loud = replace(loud, clients=rng.choice(LOUD_CLIENTS))
+    return Scenario(seed, memory_mb, seconds, loud, steady, signal, warm)
