End a stop in time though the core is too busy to give its counters

What callers saw: beside eight clients that send 2,000 lines at a time, a process was killed at 3.7 s after SIGTERM, the earliest that the protocol allows, before it had ended by itself.

Cause: after all was answered, the last line of the log waited up to a second (`write_ms`) for the counters of the core, and for space in its mailbox.

Why it works: the counters are waited for only as long as the stop has time, 20 ms at least; without them the line has none.

Test: test_stop_ends_in_time_though_the_core_gives_no_counters, failed before.

--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -34,6 +34,8 @@
 if TYPE_CHECKING:
     from .upgrade.link import Upgrade
 
+CLOSING_MS = 100.0  # after all was answered at a stop, for what is still to be closed
+MIN_COUNTERS_MS = 20.0  # to wait for the counters in the last line of the log
 STOP_READING_MS = 200.0  # before all is answered at a stop
 
 # fields of Config that take effect only at a restart
@@ -296,6 +298,7 @@
         # settings
         longest = min(3000.0, max(settings.classes[n].deadline for n in settings.active_classes().values()))
         by = started_at + min(self.limits.stop_within_ms, longest + 500.0)
+        end_at = by + CLOSING_MS
         self.log("stopping", f"all is answered within {by - started_at:.0f} ms")
         self.core.blocking_send(Stopping(by))
         if self.upgrade is not None:
@@ -312,27 +315,29 @@
         self.front.blocking_send(StopListening())
         if not self.front.all_closed.wait(max(0.0, by - STOP_READING_MS - now_ms()) / 1000):
             self.front.stop_reading()
-            self.front.all_closed.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
+            self.front.all_closed.wait(max(0.0, end_at - now_ms()) / 1000)
         self.front.record_remaining()
         if self.broker is not None:
-            self.broker.gone.wait(max(0.0, by + 100.0 - now_ms()) / 1000)
+            self.broker.gone.wait(max(0.0, end_at - now_ms()) / 1000)
         if self.upgrade is not None:
-            self.upgrade.wait_for_session(by + 100.0 - now_ms())
+            self.upgrade.wait_for_session(end_at - now_ms())
         if self.parts.ledger is not None:
             self.parts.ledger.stop()
         if self.parts.council is not None:
             self.parts.council.stop()
-        self.log("stopped", ", ".join(f"{n} {name}" for name, n in self.request_counters(self.core).items()))
+        counters = self.request_counters(self.core, max(MIN_COUNTERS_MS, end_at - now_ms()))
+        self.log("stopped", ", ".join(f"{n} {name}" for name, n in counters.items()))
         return 0
 
     # --- HTTP for operators ---
 
-    def request_counters(self, actor: Any) -> dict[str, int]:
+    def request_counters(self, actor: Any, timeout_ms: float) -> dict[str, int]:
         """Return the counters of an actor; empty if it does not reply in time."""
         reply: AsyncResult = AsyncResult()
-        actor.blocking_send(CountersRequested(reply.set))
+        if not actor.try_send(CountersRequested(reply.set)):
+            return {}
         try:
-            counts: dict[str, int] = reply.get(timeout=self.limits.write_ms / 1000)
+            counts: dict[str, int] = reply.get(timeout=timeout_ms / 1000)
         except gevent.Timeout:
             return {}
         return counts
@@ -361,5 +366,8 @@
             if self.parts.ledger is None:
                 return 404, {"error": "there is no ledger"}
             return self.parts.ledger.answer(method, path, query, self.limits.write_ms)
-        counts = {"requests": self.request_counters(self.core), "log": dict(self.log.totals)}
-        return 200, counts | ({} if self.broker is None else {"triggers": self.request_counters(self.broker)})
+        timeout_ms = self.limits.write_ms
+        counts = {"requests": self.request_counters(self.core, timeout_ms), "log": dict(self.log.totals)}
+        if self.broker is not None:
+            counts["triggers"] = self.request_counters(self.broker, timeout_ms)
+        return 200, counts
--- a/tests/test_shutdown_crossings.py
+++ b/tests/test_shutdown_crossings.py
@@ -19,10 +19,12 @@
 
 from .clients import BODY, TIMEOUT_S, Connection, Front, line, read, until
 from .scenario import Scene, ending
+from .test_retune import ServiceHarness
 
 CALL = json.loads(line(1))
 CALL["params"] |= {"acct": "coop-kef", "props": "memory_mb:512;lanes:8;load_ms:500", "blob": ""}
 FIRST_HALF, SECOND_HALF = json.dumps(CALL)[:40], json.dumps(CALL)[40:]
+EARLIEST_KILL_MS = 3700.0  # after SIGTERM, with deadlines of 3 s and more
 LONG_REQUEST_TIMEOUT = "[limits]\nclient_ask_ms = 60000"
 
 
@@ -235,3 +237,14 @@
     gevent.sleep(0.05)
     assert c.actor.state.lines == 0 and not c.core.calls
     c.close()
+
+
+# Guards against a stop that is killed while it waits for the counters of its last log line (issue 61).
+def test_stop_ends_in_time_though_the_core_gives_no_counters(tmp_path: Path) -> None:
+    harness = ServiceHarness(tmp_path)
+    limits = harness.service.limits
+    limits.stop_within_ms, limits.write_ms = 3000.0, 5000.0
+    started_at = now_ms()
+    assert harness.service.shut_down() == 0
+    assert now_ms() - started_at < EARLIEST_KILL_MS
+    assert harness.log.lines[-1].split()[0] == "stopped"
