End no connection behind the start of a line whose rest may still be on its way

What callers saw: beside 400 clients of all kinds at 32 MB, steady clients had their connections ended (`place`) with three to six calls without an answer, the oldest 159 to 307 ms old. The ends were recorded as owing nothing.

Cause: where a client gives way, and where a connection is refused, nothing unread for 2 or 50 ms counted as the end of what it sent. With small windows the rest of a line that the client has written waits in the client's kernel, for the window or a timer, while the start of the line is here. Such a start was no reason to stay.

Why it works: behind the start of a line the connection ends only after 250 ms without a byte, as behind a refused line before; for connections without a place, too.

Tests: test_client_does_not_give_way_behind_the_start_of_a_line and test_call_whose_rest_comes_late_is_refused; both failed before.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -200,8 +200,11 @@
         return [call.request_id for call in self.ids] + waiting
 
     def has_unread_call(self) -> bool:
-        """Return whether input that may be a call is unread, or may be on its way behind a refused line."""
-        if self.skimmer is not None:
+        """Return whether input that may be a call is unread, or may be on its way behind the start of a line.
+
+        The rest may wait in the client's kernel for a timer, though the client has written it.
+        """
+        if self.is_in_line():
             return not self.sends_nothing()
         return input_state(self.sock) is InputState.UNREAD
 
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -45,6 +45,10 @@
         self.skimmer, self.start = LineSkimmer(), b""
         self.skimmer.is_answered = is_first_answered
 
+    def is_in_line(self) -> bool:
+        """Return whether a line has begun that has not ended."""
+        return bool(self.start)
+
     def feed(self, data: bytes) -> list[int]:
         """Take a piece of the stream; return the ids of the calls that end in it, and of one that begins."""
         ids: list[int] = []
--- a/harrieryoke/net/refused_connection.py
+++ b/harrieryoke/net/refused_connection.py
@@ -21,6 +21,7 @@
 READ_BYTES = 4 * 1024  # at a time
 QUIET_MS = 50.0  # without a byte, after which the calls of the connection have been read
 SHORT_QUIET_MS = 2.0  # the same for a client that goes on and on; what was sent before has arrived then
+PARTIAL_QUIET_MS = 250.0  # in the middle of a line, whose rest may wait in the client's kernel for a timer
 READ_EACH_MS = 5.0  # between reads, for those that are served
 LONG_MS = 1000.0  # after which a client that still sends takes turns with other loud ones
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while nothing is read
@@ -86,11 +87,16 @@
             self.refuse_some()
             gevent.sleep(READ_EACH_MS / 1000)
 
+    def quiet_ms(self) -> float:
+        """Return how long nothing may come until the connection ends."""
+        if self.reader.is_in_line():
+            return PARTIAL_QUIET_MS
+        return SHORT_QUIET_MS if self.is_long else QUIET_MS
+
     def wait_for_data(self) -> bool:
         """Wait for data or the end of the stream; return False if there is none for a moment."""
-        quiet_ms = SHORT_QUIET_MS if self.is_long else QUIET_MS
         if input_state(self.sock) is InputState.EMPTY:
-            with gevent.Timeout(quiet_ms / 1000, False):
+            with gevent.Timeout(self.quiet_ms() / 1000, False):
                 self.sock.recv(1, socket.MSG_PEEK)
         return input_state(self.sock) is not InputState.EMPTY
 
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -245,6 +245,18 @@
             c.actor.start_reading()
 
 
+# Guards against a connection that gives way while the rest of a call waits in the client's kernel (issue 61).
+def test_client_does_not_give_way_behind_the_start_of_a_line() -> None:
+    with connected() as c:
+        c.send(START)
+        until(lambda: c.actor.partial, "a partial line")
+        c.actor.try_send(GiveWay(EndReason.PLACE))
+        gevent.sleep(STALLED_MS / 1000 / 2)
+        assert not c.actor.finished
+        c.send(b'"}}\n')
+        assert json.loads(c.sock.recv(1000))["id"] == 7
+
+
 # Guards against a connection that gives way for memory while it is owed an answer.
 def test_client_that_is_owed_an_answer_has_not_stalled() -> None:
     with connected() as c:
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -72,6 +72,15 @@
         assert read_ids(late) == list(ids) and sending.successful()
 
 
+# Guards against a connection without a place that ends while the rest of a call waits in the client's kernel.
+def test_call_whose_rest_comes_late_is_refused() -> None:
+    with without_places() as front, front.connect(line(9000)[:20]) as late:
+        until(lambda: front.front.refusing, "its calls are refused")
+        gevent.sleep(3 * QUIET_MS / 1000)
+        late.sendall(line(9000)[20:])
+        assert read_ids(late) == [9000]
+
+
 # Guards against connections without a place that are held for good by clients that never read.
 def test_client_that_never_reads_its_refusals_loses_its_connection_after_the_write_timeout() -> None:
     with without_places(write_ms=200.0) as front, front.connect() as late:
