Count the time of a call from its arrival, also where it waits for a place or to be read

What callers saw: answers after their time, of calls whose connection had waited for a place, or was not read for a while as memory was short or others had their turn: the whole budget counted again from the read.

Cause: the time of a call began with the read of its bytes; only pauses of the whole process were taken back.

Why it works: what is read has arrived when the kernel says that the last data came, but not before the reader last knew that nothing was unread, or the connection was accepted. Where the reader waits for data nothing changes.

Test: test_time_of_a_call_counts_from_its_arrival_and_not_from_its_read, failed before by the 250 ms of its wait.

--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -59,6 +59,8 @@
         self.refuses_input = False  # there is no memory to read what it sends
         self.short_since: float | None = None  # it waits for memory, and no line was taken since
         self.received_at = 0.0  # earliest time at which the bytes read last may have been received
+        self.watched_until = now_ms()  # nothing is unread that came before
+        self.arrived_at = float("inf")  # of what is being read, the last of it
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
         self.read_at = float("-inf")  # when bytes were read last
         self.unread_since: float | None = None  # of the bytes read last and what follows them
@@ -153,13 +155,18 @@
             self.quiet_from = now_ms() + QUIET_MS
             self.sock.recv(1, socket.MSG_PEEK)
             self.end_quiet()
+            self.watched_until = now_ms()
         if self.unread_since is None:
             self.unread_since = now_ms() - ms_since_data(self.sock)
         # the memory may have gone to others, or answers may wait, since this began to wait for data
         if not self.wait_until_readable():
             return b""
-        data: bytes = self.sock.recv(self.room())
+        room = self.room()
+        self.arrived_at = max(self.watched_until, now_ms() - ms_since_data(self.sock))
+        data: bytes = self.sock.recv(room)
         self.read_at = now_ms()
+        if len(data) < room:
+            self.watched_until = self.read_at
         return data
 
     def end_quiet(self) -> None:
@@ -274,7 +281,9 @@
     def take_input(self, data: bytes) -> bool:
         """Store what was read; return False once the connection has ended."""
         now = now_ms()
-        self.received_at = self.pauses.earliest_arrival(now)
+        # a call may have waited in the kernel for a place, for memory or for its turn
+        self.received_at = min(self.pauses.earliest_arrival(now), self.arrived_at)
+        self.arrived_at = float("inf")
         if self.skimmer is not None and not (data := self.take_skimmed(self.skimmer, data)):
             return not self.finished
         from_reserve = min(self.reserved_input, len(data))
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -445,6 +445,7 @@
             self.ends,
         )
         self.clients[client], client.has_sent_line = False, connection.served_before
+        client.watched_until = connection.accepted_at
         client.came_with_call = connection.came_with_call or connection.served_before
         client.start()
         if self.stopping:
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -46,6 +46,7 @@
 MEMORY_MB = st.integers(32, 1024)
 START = b'{"jsonrpc":"2.0","id":7,"method":"weight-read","params":{"blob":"'
 SHORT_LINE_BYTES, LONG_LINE_BYTES = 738, 3580  # the smallest receive buffer holds less than the long one
+KERNEL_TICK_MS = 20.0  # the kernel's times may be off by as much
 PERSIST_TIMER_MS = 200.0  # of the kernel, before it sends less than it would at once
 DELAYED_ACK_S = 0.06  # until nothing of the call before is left to be acknowledged
 
@@ -245,6 +246,21 @@
             c.actor.start_reading()
 
 
+# Guards against answers that come late, as the time that a call waited to be read was not counted (issue 61).
+def test_time_of_a_call_counts_from_its_arrival_and_not_from_its_read() -> None:
+    with connected() as c:
+        c.actor.reader.kill()
+        sent_at = now_ms()
+        c.send(line(1))
+        gevent.sleep(STALLED_MS / 1000)
+        c.actor.start_reading()
+        until(lambda: 1 in c.core.calls, "it is read")
+        assert sent_at - KERNEL_TICK_MS <= c.core.calls[1].received_at <= sent_at + KERNEL_TICK_MS
+        c.send(line(2))
+        until(lambda: 2 in c.core.calls, "read at once")
+        assert now_ms() - c.core.calls[2].received_at <= 2 * KERNEL_TICK_MS
+
+
 # Guards against a connection that gives way while the rest of a call waits in the client's kernel (issue 61).
 def test_client_does_not_give_way_behind_the_start_of_a_line() -> None:
     with connected() as c:
