Bound the wait for memory of a line by the time of its call

What callers saw: at 32 MB, beside 60 clients with bodies of up to 16 KB, calls with budgets of 530 to 920 ms were refused after their time, with `no memory to read this request`.

Cause: a line waited 500 ms for memory, whatever its call's time, and that began when the wait was first looked at, not when the line came.

Why it works: the budget stands at the start of a call. The wait takes 0.4 of it at most, counted from the line's arrival, so that the refusal comes before half of the time. Lines whose start does not tell it wait as before.

--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -17,12 +17,13 @@
 from .line_buffer import LineBuffer
 from .line_skimmer import LineSkimmer
 from .read_turns import TURN_LINES, ReadRate, ReadTurns
-from .refusal import CALL_START
-from .unread import InputState, has_hung_up, input_state, ms_since_data, read_now
+from .refusal import CALL_START, call_budget_ms
+from .unread import InputState, has_hung_up, input_state, ms_since_data, peek, read_now
 
 HANG_UP_POLL_MS = 20.0  # between checks for a closed connection while nothing is read
 MEMORY_POLL_MS = 60.0  # between checks for memory to read on
 SKIM_SLICE_MS = 1.0  # after which skipping bytes waits for a turn
+LOOKED_AT_BYTES = 512  # of a line, for the time of its call
 REFUSED_INPUT_BYTES = 4 * 1024  # that may be read without memory, to be refused
 QUIET_MS = 2.0  # without data; what was sent before has arrived then
 
@@ -59,6 +60,7 @@
         self.refuses_input = False  # there is no memory to read what it sends
         self.short_since: float | None = None  # it waits for memory, and no line was taken since
         self.received_at = 0.0  # earliest time at which the bytes read last may have been received
+        self.line_came_at = 0.0  # the first byte of the partial line
         self.watched_until = now_ms()  # nothing is unread that came before
         self.arrived_at = float("inf")  # of what is being read, the last of it
         self.quiet_from = float("inf")  # the reader waits; from then on nothing was on its way before
@@ -130,9 +132,7 @@
             elif self.room() > 0:
                 return True
             else:
-                if self.short_since is None:
-                    self.short_since = now_ms()
-                if self.state.must_refuse(now_ms() - self.short_since):
+                if self.has_waited_too_long():
                     self.refuse_input()
                 if self.room() <= 0:
                     gevent.sleep(MEMORY_POLL_MS / 1000)
@@ -234,6 +234,16 @@
 
     # --- refusal of what can't be read ---
 
+    def has_waited_too_long(self) -> bool:
+        """Return whether what comes has waited too long for memory, also before it was looked at."""
+        now = now_ms()
+        if self.short_since is None:
+            self.short_since = now
+        came_at = max(self.watched_until, now - ms_since_data(self.sock))
+        since = min(self.short_since, self.line_came_at if self.partial else came_at)
+        start = self.input.start(LOOKED_AT_BYTES) or peek(self.sock, LOOKED_AT_BYTES)
+        return self.state.must_refuse(now - since, call_budget_ms(start))
+
     def refuse_input(self) -> None:
         """Refuse what is read from now on, as there was no memory for it for too long."""
         if self.lacks_memory() and not self.unposted:
@@ -294,7 +304,7 @@
         self.state.lines_read(data.count(b"\n"))
         self.state.partial_changed(self.partial)
         if self.unposted or not was_partial:
-            self.last_active = now
+            self.last_active, self.line_came_at = now, self.received_at
         if self.unposted:
             self.has_sent_line = True
             self.release_reserved()
--- a/harrieryoke/net/connection_state.py
+++ b/harrieryoke/net/connection_state.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 MAX_MEMORY_WAIT_MS = 500.0  # for memory to read on, after which what is read is refused
+MEMORY_WAIT_SHARE = 0.4  # of a call's time, that its line may wait so, as far as its budget has been read
 
 
 class EndReason(Enum):
@@ -121,9 +122,15 @@
         """Return whether the next line may be handled, which may add an answer to those that wait."""
         return self.may_read()
 
-    def must_refuse(self, waited_ms: float) -> bool:
-        """Return whether to refuse what is read, as it has waited so long for memory."""
-        return self.ended is None and waited_ms > MAX_MEMORY_WAIT_MS
+    def must_refuse(self, waited_ms: float, budget_ms: float | None = None) -> bool:
+        """Return whether to refuse what is read, as it has waited so long for memory.
+
+        `budget_ms` is the whole time of the first call in it, if that is known.
+        """
+        allowed_ms = MAX_MEMORY_WAIT_MS
+        if budget_ms is not None:
+            allowed_ms = min(allowed_ms, MEMORY_WAIT_SHARE * budget_ms)
+        return self.ended is None and waited_ms > allowed_ms
 
     def owes(self, has_unread: bool) -> bool:
         """Return whether a call may be without a whole answer; `has_unread`: the kernel holds input."""
--- a/harrieryoke/net/line_buffer.py
+++ b/harrieryoke/net/line_buffer.py
@@ -58,6 +58,10 @@
         """Discard all bytes."""
         self.data, self.line_end = bytearray(), -1
 
+    def start(self, size: int) -> bytes:
+        """Return the first bytes, `size` at most."""
+        return bytes(self.data[:size])
+
     def unread(self) -> bytes:
         """Return all bytes that are not handled."""
         return bytes(self.data)
--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections import deque
 from dataclasses import dataclass
 
@@ -10,10 +9,9 @@
 
 from ..core.clock import now_ms
 from ..memory_budget import MAX_PLACE_WAIT_MS
-from .refusal import CALL_MEMBER, CALL_START, CallReader, encode_refusal
+from .refusal import CALL_MEMBER, CALL_START, CallReader, call_budget_ms, encode_refusal
 from .unread import has_hung_up, ms_since_data, peek, send_now
 
-BUDGET = re.compile(rb'"budget"\s*:\s*(\d{1,9})')  # of a call, in milliseconds
 MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
 LOOK_EACH_MS = 20.0  # at what has come on a connection
 LOOKED_AT_BYTES = 4 * 1024  # of it; a longer call is not short
@@ -46,8 +44,8 @@
         self.came_with_call = bool(end) and CALL_MEMBER in line
         # it may have waited in the kernel's backlog, too
         came_at = now - ms_since_data(self.sock) if is_first else self.accepted_at
-        found = BUDGET.search(data)
-        share = MAX_PLACE_WAIT_MS if found is None else MAX_WAIT_SHARE * float(found[1])
+        budget_ms = call_budget_ms(data)
+        share = MAX_PLACE_WAIT_MS if budget_ms is None else MAX_WAIT_SHARE * budget_ms
         self.overdue_at = min(self.overdue_at, min(came_at, self.accepted_at) + min(MAX_PLACE_WAIT_MS, share))
 
     def refuse_first(self, reason: str, backoff_ms: float) -> None:
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -11,6 +11,7 @@
 from .line_skimmer import LineSkimmer
 
 CALL_START = re.compile(rb'\s*\{\s*"jsonrpc"\s*:\s*"2\.0"\s*,\s*"id"\s*:\s*(\d{1,18})\s*[,}]')  # of a line
+BUDGET = re.compile(rb'"budget"\s*:\s*(\d{1,9})')  # of a call, in milliseconds
 GIVE_UP_METHOD = "giveUp"
 CALL_MEMBER, ID_MEMBER = b"method", b'"id"'  # in each call
 MAX_START_BYTES = 128  # of a line, which tell its id if it stands at the usual place
@@ -21,6 +22,12 @@
     return CALL_MEMBER in line or ID_MEMBER in line
 
 
+def call_budget_ms(start: bytes) -> float | None:
+    """Return the time of the call that begins so, if what has come names it."""
+    found = BUDGET.search(start)
+    return None if found is None else float(found[1])
+
+
 def call_id(line: bytes) -> int | None:
     """Return the id under which a line wants an answer, if any."""
     try:
--- a/tests/test_connection_state.py
+++ b/tests/test_connection_state.py
@@ -13,6 +13,7 @@
 from harrieryoke.net.connection_state import (
     MAX_MEMORY_WAIT_MS,
     MAY_OWE,
+    MEMORY_WAIT_SHARE,
     ConnectionState,
     EndReason,
 )
@@ -154,6 +155,8 @@
     assert state.may_read() == state.may_handle() == (unsent + errors == 0)
     assert state.is_busy() == bool(open_ids or lines or unsent or errors)
     assert state.must_refuse(MAX_MEMORY_WAIT_MS + 1) and not state.must_refuse(MAX_MEMORY_WAIT_MS)
+    allowed_ms = MEMORY_WAIT_SHARE * 100.0
+    assert state.must_refuse(allowed_ms + 1, 100.0) and not state.must_refuse(allowed_ms, 100.0)
 
 
 JSON = st.recursive(
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -437,6 +437,19 @@
         assert c.read(1) == [(8, 0)]
 
 
+# Guards against refusals that come too late, as the wait for memory does not depend on the time of the call.
+def test_wait_for_memory_is_a_part_of_the_time_of_the_call() -> None:
+    with connected() as c:
+        budget = c.core.memory = c.actor.memory = c.actor.outgoing.memory = MemoryBudget(1_000_000)
+        fill(budget, int(budget.common * 0.64))
+        started_at = now_ms()
+        c.send(
+            b'{"jsonrpc":"2.0","id":7,"method":"weight-read","params":{"budget":500,"blob":"' + b"A" * 20_000
+        )
+        assert json.loads(c.sock.makefile("rb").readline())["id"] == 7
+        assert now_ms() - started_at < 500 / 2  # a refusal after half of the time is priced
+
+
 # Guards against a connection that is closed since others took the memory while its reader waited for data.
 def test_reader_looks_for_memory_again_after_it_waited() -> None:
     with connected() as c:
