--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -21,7 +19,6 @@
 from ..memory_budget import (
     CONNECTION_BYTES,
     MIN_INPUT_BYTES,
-    REFUSED_CONNECTION_BYTES,
     Owner,
     Pressure,
 )
@@ -29,64 +26,28 @@
 from .client_messages import CloseIfIdle, GiveWay, RefusePartialLine, StopReading, TransferWhenIdle
 from .connection_ends import ConnectionEnds
 from .connection_state import EndReason, Refusal
+from .front_messages import (
+    AcceptorEnded,
+    ClientClosed,
+    ConnectionAccepted,
+    RefusalEnded,
+    RelieveMemory,
+    ResumeAccepting,
+    StopListening,
+    TransferClients,
+)
 from .listening import wait_for_listener
 from .pending_connections import PendingConnection, PendingConnections
 from .read_turns import ReadTurns
-from .refused_connection import RefusedConnection
+from .refused_connection import RefusedConnections
 
-MAX_REFUSED_CONNECTIONS = 32  # whose calls are refused at a time, without those that never stop sending
 CLIENT_SOCKETS_SHARE = 3 / 4  # of all sockets; the rest is for model hosts, the event bus and operators
 SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
 SEGMENTS_IN_WINDOW = 4  # of a client's receive buffer
-NO_PLACE = Refusal.NO_PLACE.value
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
 
-@dataclass(slots=True)
-class ConnectionAccepted:
-    """A connection was accepted, or transferred from another process."""
-
-    connection: PendingConnection
-
-
-class RefusalEnded:
-    """The calls of a connection without a place were refused, and it has ended."""
-
-
-@dataclass(slots=True)
-class ClientClosed:
-    """A client's actor has ended."""
-
-    client: ClientActor
-
-
-@dataclass(frozen=True, slots=True)
-class AcceptorEnded:
-    """The acceptor's greenlet for this descriptor has ended."""
-
-    acceptor: socket.socket
-
-
-class StopListening:
-    """Accept no new connections; close the others once nothing is open on them."""
-
-
-@dataclass(slots=True)
-class TransferClients:
-    """Another process accepts now; transfer the clients to it through `transfer` as they become idle."""
-
-    transfer: Callable[[socket.socket, str], object]
-
-
-class RelieveMemory:
-    """The memory is short: partial lines give way."""
-
-
-class ResumeAccepting:
-    """The other process has ended; accept clients here again."""
-
-
 def prepare_connection(sock: socket.socket, peer: tuple[str, int], log: Log) -> PendingConnection | None:
     """Return a connection ready for its actor, or None if it was reset already."""
     try:
@@ -128,7 +89,9 @@
         self.memory.on_change = self.memory_pressure_changed
         self.turns = ReadTurns()
         self.ends = ConnectionEnds(log, core.metrics)
-        self.refusing: dict[RefusedConnection, None] = {}  # connections whose calls are being refused
+        self.refusing = RefusedConnections(
+            limits, log, self.memory, self.turns, self.ends, lambda: self.try_send(RefusalEnded())
+        )
         self.pending = PendingConnections()
         self.stopping, self.all_closed = False, Event()
         self.running_acceptors = 0  # greenlets that accept, or hold a connection they have accepted
@@ -199,41 +162,16 @@
         """Return how many accepted connections have no place and no answer, with those in the mailbox."""
         return sum(isinstance(m, ConnectionAccepted) for m in self.mailbox) + self.pending.unanswered()
 
-    def may_refuse_connections(self) -> int:
-        """Return of how many further connections the calls may be refused at the moment."""
-        is_short = self.memory.free(Owner.CONNECTIONS) < REFUSED_CONNECTION_BYTES
-        counted = sum(is_short or not connection.is_long for connection in self.refusing)
-        return max(0, MAX_REFUSED_CONNECTIONS - counted)
-
-    def refuse_connection(self, connection: PendingConnection, reason: str = NO_PLACE) -> None:
-        """Refuse the calls of a connection that gets no place, in a greenlet of its own."""
-        refused = RefusedConnection(
-            connection,
-            reason,
-            self.maker.settings.max_retry_after,
-            self.limits,
-            self.log,
-            self.memory,
-            self.turns,
-            self.ends,
-        )
-        self.refusing[refused] = None
-        self.memory.charge(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
-        spawn(self.log, f"refusal {connection.name}", refused.run, lambda: self.refusal_ended(refused))
-
-    def refusal_ended(self, refused: RefusedConnection) -> None:
-        """Forget a connection whose calls were refused, and which has ended."""
-        text = f"{len(self.clients)} connections are open, {refused.refused_calls} further calls of it"
-        self.log("too-many-clients", f"{refused.name}: {text} are refused")
-        del self.refusing[refused]
-        self.memory.release(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
-        self.try_send(RefusalEnded())
+    def refuse_connection(self, connection: PendingConnection, reason: Refusal = Refusal.NO_PLACE) -> None:
+        """Refuse the calls of a connection that gets no place."""
+        backoff_ms = self.maker.settings.max_retry_after
+        self.refusing.add(connection, reason, backoff_ms, len(self.clients))
 
     def client_sockets(self) -> list[socket.socket]:
         """Return the sockets of the clients."""
         return [
             *(client.sock for client in self.clients),
-            *(connection.sock for connection in self.refusing),
+            *self.refusing.sockets(),
             *self.pending.sockets(),
         ]
 
@@ -362,15 +300,14 @@
         for client in self.clients:
             client.send_bounded(StopReading())
         for connection in self.pending.take_all():
-            self.refuse_connection(connection, Refusal.STOPPING.value)
+            self.refuse_connection(connection, Refusal.STOPPING)
 
     def record_remaining(self) -> None:
         """Record the connections that end with the process."""
         for client in list(self.clients):
             if not client.finished:
                 client.stop_serving(EndReason.STOPPING, client.owed_calls(), "the process exits")
-        for refused in list(self.refusing):
-            refused.end(EndReason.STOPPING, "the process exits")
+        self.refusing.end_all(EndReason.STOPPING, "the process exits")
         for connection in self.pending.take_all():
             owed = connection.unread_calls()
             self.ends.record(connection.name, EndReason.STOPPING, owed, "no place until the process exits")
@@ -402,7 +339,7 @@
 
     def take_connection(self, connection: PendingConnection) -> None:
         """Serve a connection, now or once it has a place. If all are busy, it is refused at once."""
-        if not (self.has_place() or self.may_get_room()) and self.may_refuse_connections():
+        if not (self.has_place() or self.may_get_room()) and self.refusing.may_add():
             return self.refuse_connection(connection)
         self.pending.add(connection)
         self.admit_pending()
@@ -420,8 +357,8 @@
             self.ends.record(connection.name, EndReason.CLIENT_LEFT, (), "")
             self.ends.close(connection.sock)
         for connection in self.pending.overdue():
-            connection.refuse_first(NO_PLACE, self.maker.settings.max_retry_after)
-            if self.may_refuse_connections():
+            connection.refuse_first(Refusal.NO_PLACE.value, self.maker.settings.max_retry_after)
+            if self.refusing.may_add():
                 self.pending.take(connection)
                 self.refuse_connection(connection)
         if len(self.pending) > sum(self.clients.values()):  # else as many leave already
--- a/harrieryoke/net/refused_connection.py
+++ b/harrieryoke/net/refused_connection.py
@@ -1,23 +1,27 @@
-"""A connection that gets no place: its calls are refused for as long as some come, then it is closed."""
+"""Connections that get no place: their calls are refused for as long as some come, then they are closed."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 from gevent import socket
 from gevent.event import Event
 
+from ..core.actor import spawn
 from ..core.clock import now_ms
 from ..limits import Limits
 from ..log import Log
-from ..memory_budget import MemoryBudget
+from ..memory_budget import REFUSED_CONNECTION_BYTES, MemoryBudget, Owner
 from .connection_ends import ConnectionEnds
-from .connection_state import ConnectionState, EndReason
+from .connection_state import ConnectionState, EndReason, Refusal
 from .outgoing import OutgoingQueue
 from .pending_connections import PendingConnection
 from .read_turns import ReadTurns
 from .refusal import CallReader, encode_refusal
 from .unread import InputState, has_hung_up, input_state
 
+MAX_REFUSED_CONNECTIONS = 32  # at a time, without those that never stop sending
 READ_BYTES = 4 * 1024  # at a time
 QUIET_MS = 50.0  # without a byte, after which the calls of the connection have been read
 SHORT_QUIET_MS = 2.0  # the same for a client that goes on and on; what was sent before has arrived then
@@ -36,7 +40,7 @@
     def __init__(
         self,
         connection: PendingConnection,
-        reason: str,
+        reason: Refusal,
         backoff_ms: float,
         limits: Limits,
         log: Log,
@@ -109,7 +113,7 @@
             return self.end(EndReason.CLIENT_LEFT)
         for id in self.reader.feed(data):
             self.refused_calls += 1
-            self.outgoing.put(encode_refusal(id, self.reason, self.backoff_ms), is_answer=True)
+            self.outgoing.put(encode_refusal(id, self.reason.value, self.backoff_ms), is_answer=True)
 
     def wait_until_drained(self) -> None:
         """Wait until the client has taken the refusals, or has left."""
@@ -132,3 +136,58 @@
         self.ends.record(self.name, reason, owed, detail)
         self.ends.close(self.sock)
         self.drained.set()
+
+
+class RefusedConnections:
+    """The connections whose calls are being refused, each in a greenlet of its own.
+
+    `on_end` is called when one has ended.
+    """
+
+    def __init__(
+        self,
+        limits: Limits,
+        log: Log,
+        memory: MemoryBudget,
+        turns: ReadTurns,
+        ends: ConnectionEnds,
+        on_end: Callable[[], object],
+    ) -> None:
+        self.limits, self.log, self.memory = limits, log, memory
+        self.turns, self.ends, self.on_end = turns, ends, on_end
+        self.refusing: dict[RefusedConnection, None] = {}
+
+    def __len__(self) -> int:
+        return len(self.refusing)
+
+    def may_add(self) -> bool:
+        """Return whether the calls of a further connection may be refused at the moment."""
+        is_short = self.memory.free(Owner.CONNECTIONS) < REFUSED_CONNECTION_BYTES
+        counted = sum(is_short or not connection.is_long for connection in self.refusing)
+        return counted < MAX_REFUSED_CONNECTIONS
+
+    def add(self, connection: PendingConnection, reason: Refusal, backoff_ms: float, in_use: int) -> None:
+        """Refuse the calls of a connection, for this reason; `in_use` is the number of places."""
+        refused = RefusedConnection(
+            connection, reason, backoff_ms, self.limits, self.log, self.memory, self.turns, self.ends
+        )
+        self.refusing[refused] = None
+        self.memory.charge(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
+        spawn(self.log, f"refusal {connection.name}", refused.run, lambda: self.forget(refused, in_use))
+
+    def forget(self, refused: RefusedConnection, in_use: int) -> None:
+        """Forget a connection that has ended."""
+        text = f"{in_use} connections were open, {refused.refused_calls} further calls of it are refused"
+        self.log("too-many-clients", f"{refused.name}: {text}")
+        del self.refusing[refused]
+        self.memory.release(Owner.CONNECTIONS, REFUSED_CONNECTION_BYTES)
+        self.on_end()
+
+    def sockets(self) -> list[socket.socket]:
+        """Return the sockets of the connections."""
+        return [connection.sock for connection in self.refusing]
+
+    def end_all(self, reason: EndReason, detail: str) -> None:
+        """End all connections, whatever they owe; that is recorded."""
+        for connection in list(self.refusing):
+            connection.end(reason, detail)
--- a/harrieryoke/service.py
+++ b/harrieryoke/service.py
@@ -25,9 +25,10 @@
 from .limits import MIN_BUDGET_BYTES, WORKING_MB
 from .log import Log
 from .net.bus_follower import BusFollower
+from .net.front_messages import StopListening
 from .net.hostlist import HostListActor
 from .net.memory_monitor import MemoryMonitor
-from .net.platform import PlatformFront, StopListening
+from .net.platform import PlatformFront
 from .parts import CouncilPart, Parts
 from .reload import describe_changes, find_missing_key, merge
 
--- a/harrieryoke/upgrade/link.py
+++ b/harrieryoke/upgrade/link.py
@@ -33,9 +33,10 @@
 from ..limits import Limits
 from ..log import Log
 from ..net.bans import BanChanged
+from ..net.front_messages import ConnectionAccepted, ResumeAccepting, TransferClients
 from ..net.hostlist import Ban, HostListActor
 from ..net.pending_connections import PendingConnection
-from ..net.platform import ConnectionAccepted, PlatformFront, ResumeAccepting, TransferClients
+from ..net.platform import PlatformFront
 from ..parts import Parts
 from .bans import BanFile, BansError
 from .handover import READ_BYTES, Predecessor, request_handover, short_socket_path
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 
 from harrieryoke.limits import Limits
 from harrieryoke.log import Log
-from harrieryoke.net.platform import ResumeAccepting, TransferClients
+from harrieryoke.net.front_messages import ResumeAccepting, TransferClients
 from harrieryoke.upgrade.link import Upgrade
 from harrieryoke.upgrade.messages import Link, LinkLost, PeerMessageReceived, Serving
 
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -67,7 +67,9 @@
         late.settimeout(4 * TIMEOUT_S)
         ids = range(9000, 10000)
         sending = gevent.spawn(late.sendall, b"".join(map(line, ids)))
-        until(lambda: any(c.state.unsent_answers for c in front.front.refusing), "refusals wait for it")
+        until(
+            lambda: any(c.state.unsent_answers for c in front.front.refusing.refusing), "refusals wait for it"
+        )
         gevent.sleep(5 * QUIET_MS / 1000)
         assert read_ids(late) == list(ids) and sending.successful()
 
--- a/tests/test_shutdown_crossings.py
+++ b/tests/test_shutdown_crossings.py
@@ -13,9 +13,9 @@
 
 from harrieryoke.core.clock import now_ms
 from harrieryoke.net.client_messages import CloseIfIdle, StopReading
+from harrieryoke.net.front_messages import ConnectionAccepted, ResumeAccepting, StopListening, TransferClients
 from harrieryoke.net.jsonrpc import REFUSED
 from harrieryoke.net.pending_connections import PendingConnection
-from harrieryoke.net.platform import ConnectionAccepted, ResumeAccepting, StopListening, TransferClients
 
 from .clients import BODY, TIMEOUT_S, Connection, Front, line, read, until
 from .scenario import Scene, ending
