Let a line that takes longer than the limits allow be no reason to stay

What callers saw: since a client that sends a byte of a request each 0.2 to 0.4 s was not closed after 2 s any more, and had no answer in time.

Why it works: only `place` waits for 250 ms without a byte; `idle` ends such a connection as before.

Test: those, which failed before.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -179,7 +179,7 @@
 
     def may_end(self, reason: EndReason) -> bool:
         """Return whether the connection may end now for this reason."""
-        return self.state.may_end(reason, self.has_unread_call())
+        return self.state.may_end(reason, self.has_unread_call(reason))
 
     def stop_serving(self, reason: EndReason, owed: list[str], detail: str) -> None:
         """Record the end; nothing is read, handled or written any more."""
@@ -199,12 +199,13 @@
         waiting = [f"unhandled line {n}" for n in range(1, self.state.lines + 1)]
         return [call.request_id for call in self.ids] + waiting
 
-    def has_unread_call(self) -> bool:
+    def has_unread_call(self, reason: EndReason) -> bool:
         """Return whether input that may be a call is unread, or may be on its way behind the start of a line.
 
-        The rest may wait in the client's kernel for a timer, though the client has written it.
+        The rest may wait in the client's kernel for a timer, though the client has written it. A line that
+        takes longer than the limits allow is no reason to stay.
         """
-        if self.is_in_line():
+        if self.skimmer is not None or (self.partial and reason is EndReason.PLACE):
             return not self.sends_nothing()
         return input_state(self.sock) is InputState.UNREAD
 
