Answer lines that are no calls on a connection without a place, and end it between two of them

What callers saw: since, at 32 MB in a crowd of all kinds, 30 to 62 clients that only send unsound lines had neither an error nor a close within 3 s, as others are answered for as long as they send.

Cause: a stream without calls was read slowly, and never found empty; and connections whose client had left waited for a turn, with one of the 32 places of those being refused.

Why it works: a waiting connection whose first line is no call gets an error for it, like one with a call. A client that has sent no call for a second is read until nothing is unread, and ends there; the start of a line that can't be a call is no call. A client that has left ends at once.

--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -9,7 +9,7 @@
 
 from ..core.clock import now_ms
 from ..memory_budget import MAX_PLACE_WAIT_MS
-from .refusal import CALL_MEMBER, CALL_START, CallReader, call_budget_ms, encode_refusal
+from .refusal import CALL_MEMBER, CALL_START, CallReader, call_budget_ms, encode_refusal, may_want_answer
 from .unread import has_hung_up, ms_since_data, peek, send_now
 
 MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
@@ -49,11 +49,18 @@
         self.overdue_at = min(self.overdue_at, min(came_at, self.accepted_at) + min(MAX_PLACE_WAIT_MS, share))
 
     def refuse_first(self, reason: str, backoff_ms: float) -> None:
-        """Refuse the first call, if its id has come; the rest of the connection may have to wait for that."""
+        """Refuse the first call, if its id has come; the rest of the connection may have to wait for that.
+
+        A first line that is no call gets an error without an id.
+        """
         if self.is_first_refused:
             return
-        if (start := CALL_START.match(peek(self.sock, LOOKED_AT_BYTES))) is not None:
+        data = peek(self.sock, LOOKED_AT_BYTES)
+        line, end, _ = data.partition(b"\n")
+        if (start := CALL_START.match(data)) is not None:
             self.is_first_refused = send_now(self.sock, encode_refusal(int(start[1]), reason, backoff_ms))
+        elif end and not may_want_answer(line):
+            self.is_first_refused = send_now(self.sock, encode_refusal(None, reason, backoff_ms))
 
     def unread_calls(self) -> list[str]:
         """Return a name for each whole call that has come and has no answer."""
--- a/harrieryoke/net/refusal.py
+++ b/harrieryoke/net/refusal.py
@@ -37,7 +37,7 @@
     return None if message.method == GIVE_UP_METHOD else message.id
 
 
-def encode_refusal(id: int, reason: str, backoff_ms: float) -> bytes:
+def encode_refusal(id: int | None, reason: str, backoff_ms: float) -> bytes:
     """Return the line that refuses a call; a backoff of 0 is not named."""
     error: dict[str, Any] = {"code": REFUSED, "message": reason}
     if backoff_ms:
@@ -53,8 +53,8 @@
         self.skimmer.is_answered = is_first_answered
 
     def is_in_line(self) -> bool:
-        """Return whether a line has begun that has not ended."""
-        return bool(self.start)
+        """Return whether a line has begun that may be a call, and has neither ended nor been refused."""
+        return self.start.lstrip().startswith(b"{") and not self.skimmer.is_answered
 
     def feed(self, data: bytes) -> list[int]:
         """Take a piece of the stream; return the ids of the calls that end in it, and of one that begins."""
--- a/harrieryoke/net/refused_connection.py
+++ b/harrieryoke/net/refused_connection.py
@@ -25,6 +25,8 @@
 READ_BYTES = 4 * 1024  # at a time
 QUIET_MS = 50.0  # without a byte, after which the calls of the connection have been read
 SHORT_QUIET_MS = 2.0  # the same for a client that goes on and on; what was sent before has arrived then
+LONG_READ_BYTES = 64 * 1024  # at a time, from a client that goes on and on with lines that are no calls
+LONG_READING_MS = 2.0  # at a time, for such a client
 PARTIAL_QUIET_MS = 250.0  # in the middle of a line, whose rest may wait in the client's kernel for a timer
 READ_EACH_MS = 5.0  # between reads, for those that are served
 LONG_MS = 1000.0  # after which a client that still sends takes turns with other loud ones
@@ -64,6 +66,11 @@
         """Whether the client has been sending for long."""
         return now_ms() - self.started_at > LONG_MS
 
+    @property
+    def sends_no_calls(self) -> bool:
+        """Whether the client has been sending for long, and no call was among it."""
+        return self.is_long and not self.refused_calls
+
     def run(self) -> None:
         """Refuse what comes until the connection has ended."""
         try:
@@ -80,35 +87,50 @@
 
     def read_on(self) -> None:
         """Refuse the calls of one read, or end the connection if nothing came. Raises OSError."""
-        if not self.wait_for_data():
+        if has_hung_up(self.sock):
+            self.end(EndReason.CLIENT_LEFT)
+        elif not self.wait_for_data():
             if self.state.may_end(EndReason.PLACE, input_state(self.sock) is InputState.UNREAD):
                 self.end(EndReason.PLACE)
         elif self.is_long:
             with self.turns.turn():
-                self.refuse_some()
+                if self.sends_no_calls:
+                    self.catch_up()
+                else:
+                    self.refuse_some(READ_BYTES)
                 gevent.sleep(0)
         else:
-            self.refuse_some()
+            self.refuse_some(READ_BYTES)
             gevent.sleep(READ_EACH_MS / 1000)
 
     def quiet_ms(self) -> float:
         """Return how long nothing may come until the connection ends."""
         if self.reader.is_in_line():
             return PARTIAL_QUIET_MS
+        if self.sends_no_calls:
+            return 0.0
         return SHORT_QUIET_MS if self.is_long else QUIET_MS
 
     def wait_for_data(self) -> bool:
         """Wait for data or the end of the stream; return False if there is none for a moment."""
-        if input_state(self.sock) is InputState.EMPTY:
-            with gevent.Timeout(self.quiet_ms() / 1000, False):
+        if input_state(self.sock) is InputState.EMPTY and (quiet_ms := self.quiet_ms()):
+            with gevent.Timeout(quiet_ms / 1000, False):
                 self.sock.recv(1, socket.MSG_PEEK)
         return input_state(self.sock) is not InputState.EMPTY
 
-    def refuse_some(self) -> None:
+    def catch_up(self) -> None:
+        """Read on, to find a moment at which nothing is unread: it may end then. Raises OSError."""
+        read_until = now_ms() + LONG_READING_MS
+        while self.sends_no_calls and now_ms() < read_until and self.state.ended is None:
+            if input_state(self.sock) is InputState.EMPTY:
+                return
+            self.refuse_some(LONG_READ_BYTES)
+
+    def refuse_some(self, size: int) -> None:
         """Read once, and refuse the calls that end in it. Raises OSError."""
         if self.state.ended is not None:
             return
-        data = self.sock.recv(READ_BYTES)
+        data = self.sock.recv(size)
         if not data:
             return self.end(EndReason.CLIENT_LEFT)
         for id in self.reader.feed(data):
