Pass the processor on while loud clients are passed over, and heed other messages meanwhile

Cause: a client that gives way was passed over for 50 ms without a pause; at a stop all loud clients do so each 250 ms, one after the other: eight of them take 400 ms, in which nothing else goes on. The refusal of many lines at the end of a stop did not pause either.

Why it works: 4 KB are passed over at a time, then others go on for as long as that took; 50 ms are processor time. A message that comes meanwhile ends it at once, so that what was read is refused before the process exits.

Test: test_others_go_on_while_a_loud_client_is_passed_over, failed before.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -56,7 +56,9 @@
 ANSWER_OVERHEAD_BYTES = 256  # of an answer, in addition to its body
 MAX_LONG_ANSWERS = 4  # that may be queued at once for a client that reads slowly
 STALLED_MS = 250.0  # without progress, after which a client gives way to others
-MAX_DRAINING_MS = 50.0  # for a client that gives way
+MAX_DRAINING_MS = 50.0  # of processor time, for a client that gives way
+PASSED_OVER_BYTES = 4 * 1024  # at a time
+REFUSING_SLICE_MS = 5.0  # after which the refusal of many lines lets others go on
 
 
 class ClientActor(ClientPresence):
@@ -298,8 +300,12 @@
         self.mailbox.clear()
         self.mailbox.extend(others)
         waiting = [message.data for message in lines] + self.input.take_lines().split(b"\n")[:-1]
+        slice_end = now_ms() + REFUSING_SLICE_MS
         for data in waiting:
             self.handle_message(LineReceived(data, self.received_at, Refusal.STOPPING))
+            if now_ms() > slice_end:
+                gevent.sleep(0)
+                slice_end = now_ms() + REFUSING_SLICE_MS
 
     def give_way(self, reason: EndReason) -> None:
         """Pass over what was sent, and end the connection if that comes to an end."""
@@ -313,23 +319,30 @@
         self.state.giving_way_changed(True)
         drained = self.pass_over_input()
         self.state.giving_way_changed(False)
-        is_asked_more = any(not isinstance(message, GiveWay) for message in self.mailbox)
-        if not (self.finished or is_asked_more) and self.may_end(reason):
+        if not (self.finished or self.is_asked_more()) and self.may_end(reason):
             self.end_connection(reason, f"{drained} bytes were passed over")
 
+    def is_asked_more(self) -> bool:
+        """Return whether messages wait that are no further requests to give way."""
+        return any(not isinstance(message, GiveWay) for message in self.mailbox)
+
     def pass_over_input(self) -> int:
         """Pass over what was read and what is unread, until nothing comes or an answer can't be sent.
 
-        Returns how many bytes were read.
+        Others get as much of the processor meanwhile. Returns how many bytes were read.
         """
-        drained, give_up_at, was_quiet = 0, now_ms() + MAX_DRAINING_MS, False
-        while not self.finished and now_ms() < give_up_at:
+        drained, spent_ms, was_quiet = 0, 0.0, False
+        while not (self.finished or self.is_asked_more()) and spent_ms < MAX_DRAINING_MS:
+            started_at = now_ms()
             if not self.pass_over(self.input.take_lines()):
                 break
-            if data := read_now(self.sock, self.limits.line_bytes // 4):
+            if data := read_now(self.sock, PASSED_OVER_BYTES):
                 drained += len(data)
                 was_quiet = False
                 self.take_input(data)
+                step_ms = now_ms() - started_at
+                spent_ms += step_ms
+                gevent.sleep(step_ms / 1000)
             elif was_quiet:
                 break
             else:
--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -262,6 +262,19 @@
         assert now_ms() - (c.core.calls[2].deadline - CALL_MS) <= 2 * KERNEL_TICK_MS
 
 
+# Guards against loud clients that are passed over for 50 ms each while nobody else goes on (issue 61).
+def test_others_go_on_while_a_loud_client_is_passed_over() -> None:
+    with connected() as c, c.actor.turns.turn():
+        c.send(b"1\n" * 2000)
+        until(lambda: c.actor.sends_too_many_lines(now_ms()), "its rate is high")
+        c.send(b'{"id":1}\n' * 20_000)  # each costs as much as a call that is refused
+        reader = gevent.spawn(lambda: c.sock.makefile("rb").read())
+        c.actor.try_send(GiveWay(EndReason.PLACE))
+        until(lambda: c.actor.state.is_giving_way, "seen while it is passed over")
+        assert not c.actor.finished
+        reader.kill()
+
+
 # Guards against a connection that gives way while the rest of a call waits in the client's kernel (issue 61).
 def test_client_does_not_give_way_behind_the_start_of_a_line() -> None:
     with connected() as c:
