--- a/tests/test_memory_measured.py
+++ b/tests/test_memory_measured.py
@@ -480,3 +480,12 @@
         fill(budget, 0)
         until(lambda: 2 in c.core.calls, "read")
         assert not c.log.totals
+
+
+# Guards against a line sent in pieces without end that keeps its connection for good (issue 61).
+def test_connection_in_the_middle_of_a_line_ends_as_idle_but_not_for_its_place() -> None:
+    with connected() as c:
+        c.send(START)
+        until(lambda: c.actor.partial, "the start of a line")
+        assert not c.actor.may_end(EndReason.PLACE)
+        assert c.actor.may_end(EndReason.IDLE)
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -94,6 +94,14 @@
         sending.kill()
 
 
+# Guards against connections without a place that only send noise, and get neither an error nor an end.
+def test_noise_on_a_connection_without_a_place_gets_an_error_and_the_connection_ends() -> None:
+    with without_places() as front, front.connect(b"5\n") as late:
+        answer, *others = map(json.loads, late.makefile("rb"))
+        assert answer["id"] is None and answer["error"] and not others
+        until(lambda: not (front.front.refusing or front.front.pending), "it is forgotten")
+
+
 # Guards against connections that wait for a place, whose calls have no answer as the process exits.
 @pytest.mark.parametrize("is_being_refused", [False, True])
 def test_calls_of_connections_without_a_place_are_refused_before_the_process_exits(
