Keep a share of the memory for ordinary requests, whatever connections hold

Cause: connections, with and without a place, and their socket buffers could take all of the budget beside the reserve for answers. Open requests held 9 to 30 kB then.

Why it works: a tenth of the budget is for ordinary open requests, and as much for unhandled ones, under any pressure, as was said of MIN_REQUESTS_BYTES and MIN_INPUT_BYTES.

--- a/harrieryoke/core/module.py
+++ b/harrieryoke/core/module.py
@@ -12,7 +12,7 @@
 from .. import interface as i
 from ..limits import Limits
 from ..log import Log
-from ..memory_budget import MemoryBudget, Owner, Pressure, request_size
+from ..memory_budget import MemoryBudget, Pressure, request_size
 from ..router import Router
 from .actor import Actor
 from .arrivals import ArrivalQueue
@@ -110,7 +110,7 @@
 
         Blocks while the mailbox is full, which slows the fronts down.
         """
-        call.reservation = self.memory.reserve(Owner.REQUESTS, request_size(len(call.body)))
+        call.reservation = self.memory.reserve_request(request_size(len(call.body)))
         if self.recorder is not None:
             front = self.recorder.front_for(front)
         if call.reservation is None:
--- a/harrieryoke/memory_budget.py
+++ b/harrieryoke/memory_budget.py
@@ -3,7 +3,8 @@
 The budget is what the configured memory leaves beyond the bare process. No charge passes it: a holder that
 can't charge waits or refuses; nobody is closed for memory. As it fills, these give way in this order
 (`Pressure`): clients that hold more than their share are no longer read; the calls of stalled partial lines
-are refused; new calls are refused. A part is kept for answers to calls that were taken. No I/O and no clock.
+are refused; new calls are refused. A part is kept for answers to calls that were taken, and a part for
+ordinary requests, whatever else is held. No I/O and no clock.
 
 What is remembered of functions is bounded by a table of its own, which the router shrinks while the memory is
 short; its bytes are shown among the others.
@@ -26,6 +27,7 @@
 LINES_SHARE = 0.65  # of the budget without the reserve, up to which the rest of a long line may be reserved
 MIN_FRAME_BYTES = 72 * 1024  # of an ordinary answer of a model host, which is read under any pressure
 FRAMES_SHARE = 0.25  # of the budget, above which model hosts are not read
+ORDINARY_SHARE = 0.1  # of the budget, for ordinary requests of one owner under any pressure
 MIN_LINE_OF_LIST_BYTES = 64 * 1024  # of discovery, that may be read under any pressure
 CONNECTIONS_SHARE = 0.6  # of the budget without the reserve
 CONNECTION_BYTES = 24 * 1024  # of a client's connection: actor, two greenlets, socket
@@ -130,6 +132,13 @@
         """Return how many bytes the owner may charge now."""
         return self.limit(owner) - self.held()
 
+    def free_for_ordinary(self, owner: Owner) -> int:
+        """Return how many bytes of ordinary requests the owner may charge now.
+
+        Neither connections nor large requests take all the memory that those need.
+        """
+        return max(self.free(owner), int(self.total * ORDINARY_SHARE) - self.used[owner])
+
     def try_charge(self, owner: Owner, size: int) -> bool:
         """Charge so many bytes; return False, and charge nothing, if the budget does not allow it."""
         if size > self.free(owner):
@@ -157,6 +166,15 @@
         """Charge so many bytes for as long as the returned object lives; None if that is not allowed."""
         return Reservation(self, owner, size) if self.try_charge(owner, size) else None
 
+    def reserve_request(self, size: int) -> Reservation | None:
+        """Charge an open request of this size; None if that is not allowed."""
+        is_ordinary = size <= MIN_REQUESTS_BYTES
+        free = self.free_for_ordinary(Owner.REQUESTS) if is_ordinary else self.free(Owner.REQUESTS)
+        if size > free:
+            return None
+        self.charge(Owner.REQUESTS, size)
+        return Reservation(self, Owner.REQUESTS, size)
+
     def reserve_line_of_list(self, size: int) -> Reservation | None:
         """Charge a partial line of discovery; None if it is a long one and there is no memory for it.
 
--- a/harrieryoke/net/connection_input.py
+++ b/harrieryoke/net/connection_input.py
@@ -197,11 +197,11 @@
         chunk = self.limits.line_bytes // 4
         if self.reserved_input:
             return min(chunk, self.reserved_input)
-        free = min(chunk, self.memory.free(Owner.INPUT))
         if self.memory.pressure is Pressure.NONE:
-            return free
+            return min(chunk, self.memory.free(Owner.INPUT))
         if self.charged_input < MIN_INPUT_BYTES:
-            return min(free, MIN_INPUT_BYTES - self.charged_input)
+            free = self.memory.free_for_ordinary(Owner.INPUT)
+            return min(chunk, free, MIN_INPUT_BYTES - self.charged_input)
         return min(chunk, self.reserve_line())
 
     def reserve_line(self) -> int:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -11,6 +11,7 @@
     CONNECTION_BYTES,
     MAY_USE_RESERVE,
     MIN_REQUESTS_BYTES,
+    ORDINARY_SHARE,
     MemoryBudget,
     Owner,
     Pressure,
@@ -78,6 +79,24 @@
 TestCharges = Charges.TestCase
 
 
+# Guards against connections and large requests that leave no memory for ordinary calls (issue 61).
+@given(st.integers(0, 2 * TOTAL), st.lists(st.integers(1, MIN_REQUESTS_BYTES), min_size=1))
+def test_ordinary_requests_have_a_share_whatever_else_is_held(measured: int, sizes: list[int]) -> None:
+    budget = MemoryBudget(TOTAL)
+    budget.measure_with(lambda: measured, 0)
+    reserved: list[Reservation] = []
+    for size in sizes:
+        requests = budget.used[Owner.REQUESTS]
+        is_within_share = requests + size <= ORDINARY_SHARE * TOTAL
+        is_free = budget.held() + size <= budget.common
+        if (reservation := budget.reserve_request(size)) is not None:
+            reserved.append(reservation)
+        assert (reservation is not None) == (is_within_share or is_free)
+        left = budget.common - budget.held()
+        assert budget.free_for_ordinary(Owner.INPUT) == max(left, int(ORDINARY_SHARE * TOTAL))
+    assert budget.reserve_request(MIN_REQUESTS_BYTES + 1) is None or budget.held() <= budget.common
+
+
 # Guards against many greedy clients that leave no memory for the small request of another one.
 @given(st.integers(1, 600), st.integers(1000, 40_000))
 def test_greedy_clients_leave_room_for_a_small_request(clients: int, size: int) -> None:
