Accept fewer connections while most of those that wait have refused calls

What callers saw: at 32 MB beside 900 clients that never read, the process and its socket buffers took 32.2, 32.1, 32.0 and 31.8 MB, that is more than its limit.

Cause: connections whose first call was refused did not count among those that wait for a place, up to half of them, so that 256 waited with what their clients sent, 8 to 9 kB each.

Why it works: a quarter of them does not count. The others keep the acceptor waiting, as all others do.

Test: the count; half of 100 before.

--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -15,6 +15,7 @@
 MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
 LOOK_EACH_MS = 20.0  # at what has come on a connection
 LOOKED_AT_BYTES = 4 * 1024  # of it; a longer call is not short
+MAX_ANSWERED_SHARE = 1 / 4  # of those that wait, which don't count as they have an answer
 
 
 @dataclass(slots=True, eq=False)
@@ -77,9 +78,12 @@
         return len(self.waiting)
 
     def unanswered(self) -> int:
-        """Return how many have no answer yet; at most half of them all may have one."""
-        refused = sum(connection.is_first_refused for connection in self.waiting)
-        return max(len(self.waiting) - refused, len(self.waiting) // 2)
+        """Return how many have no answer yet; at most a share of them all counts as having one.
+
+        Those answered hold socket buffers until their other calls are refused, or they leave.
+        """
+        answered = sum(connection.is_first_refused for connection in self.waiting)
+        return len(self.waiting) - min(answered, int(len(self.waiting) * MAX_ANSWERED_SHARE))
 
     def add(self, connection: PendingConnection) -> None:
         """Add a connection at the end."""
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -12,6 +12,7 @@
 
 from harrieryoke.core.clock import now_ms
 from harrieryoke.net.connection_state import EndReason
+from harrieryoke.net.pending_connections import PendingConnection, PendingConnections
 from harrieryoke.net.refused_connection import LONG_MS as LONG_REFUSAL_MS
 from harrieryoke.net.refused_connection import QUIET_MS
 
@@ -102,6 +103,15 @@
         until(lambda: not (front.front.refusing or front.front.pending), "it is forgotten")
 
 
+# Guards against connections whose calls are all refused that fill the memory while more are accepted.
+def test_most_connections_that_wait_count_though_their_first_calls_are_refused() -> None:
+    pending = PendingConnections()
+    with socket.socket() as sock:
+        for _ in range(100):
+            pending.add(PendingConnection(sock, "c:1", is_first_refused=True))
+        assert pending.unanswered() == 75
+
+
 # Guards against connections that wait for a place, whose calls have no answer as the process exits.
 @pytest.mark.parametrize("is_being_refused", [False, True])
 def test_calls_of_connections_without_a_place_are_refused_before_the_process_exits(
