Don't end connections before their first byte, and keep places for clients with a few calls

Cause: a connection without a byte gave its place up after client_fresh_ms, 0.1 s. Connections whose calls are refused, at 12 kB each, took the memory for places, too.

Why it works: such a connection may be silent for 2.5 s. A quarter of the places, kept so far for connections that come with a whole short call, is now for those that come with at most four, and clients with more open or unhandled at a time count among the others; these places need no free memory. Nobody idle gives way to a connection that could not have the place.

Tests: a silent connection's call, and that of a usual client beside a crowd; both were never read before.

--- a/harrieryoke/net/client.py
+++ b/harrieryoke/net/client.py
@@ -49,6 +49,7 @@
     parse_props,
 )
 from .outgoing import OutgoingQueue
+from .pending_connections import MAX_FEW_CALLS
 from .read_turns import ReadTurns
 from .refusal import may_want_answer
 from .unread import InputState, given_up_id, input_state, ms_since_data, read_now
@@ -87,7 +88,7 @@
         self.deferred: deque[LineReceived] = deque()  # lines that came while answers wait
         self.close_request: CloseIfIdle | None = None
         self.transfer_request: TransferWhenIdle | None = None
-        self.came_with_call = False  # a whole short call had come before it had a place
+        self.came_with_few_calls = False  # whole and short ones, before it had a place
         self.asked_at = float("-inf")  # when the front last asked it to give way
         # answers of ordinary size to all requests that may be open at once, and some long ones
         typical_bytes = limits.open_per_connection * (limits.body_bytes * 4 // 3 + ANSWER_OVERHEAD_BYTES)
@@ -139,6 +140,11 @@
         """Return whether lines wait since there were more than the client may send, and no call is open."""
         return self.unposted and not self.open and self.read_rate.is_high(now)
 
+    def is_demanding(self, now: float) -> bool:
+        """Return whether the client is none that sends a few short calls at a time."""
+        has_many_calls = len(self.open) + self.state.lines > MAX_FEW_CALLS
+        return has_many_calls or not self.came_with_few_calls or self.read_rate.is_high(now)
+
     def waiting_bytes(self) -> int:
         """Return what the client holds here for a request that is not complete; 0 while calls are open."""
         return 0 if self.state.owes(False) else self.charged_input
--- a/harrieryoke/net/pending_connections.py
+++ b/harrieryoke/net/pending_connections.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import IntEnum
 
 from gevent import socket
 
@@ -15,9 +16,28 @@
 MAX_WAIT_SHARE = 0.7  # of a call's time, that its connection may wait for a place
 LOOK_EACH_MS = 20.0  # at what has come on a connection
 LOOKED_AT_BYTES = 4 * 1024  # of it; a longer call is not short
+MAX_FEW_CALLS = 4  # that a client sends at once, of which others need not be protected
 MAX_ANSWERED_SHARE = 1 / 4  # of those that wait, which don't count as they have an answer
 
 
+class Arrival(IntEnum):
+    """What has come on a connection; those with more useful input get places first."""
+
+    NOTHING = 0
+    DATA = 1  # no whole short call
+    MANY_CALLS = 2  # or other lines behind a short call
+    FEW_CALLS = 3
+
+
+def classify(data: bytes) -> Arrival:
+    """Return what has come on a connection, from its first LOOKED_AT_BYTES."""
+    line, end, _ = data.partition(b"\n")
+    if not (end and CALL_MEMBER in line):
+        return Arrival.DATA if data else Arrival.NOTHING
+    is_few = data.count(b"\n") <= MAX_FEW_CALLS and len(data) < LOOKED_AT_BYTES
+    return Arrival.FEW_CALLS if is_few else Arrival.MANY_CALLS
+
+
 @dataclass(slots=True, eq=False)
 class PendingConnection:
     """An accepted connection without an actor; `served_before` if it came from another process."""
@@ -26,7 +46,7 @@
     name: str
     served_before: bool = False
     accepted_at: float = 0.0
-    came_with_call: bool = False  # a whole short call has come
+    arrival: Arrival = Arrival.NOTHING
     is_first_refused: bool = False  # its first call was refused, though nothing is read of it yet
     has_left: bool = False
     overdue_at: float = float("inf")
@@ -38,11 +58,10 @@
             return
         is_first, self.looked_at = self.looked_at < 0, now
         self.has_left = has_hung_up(self.sock)
-        if self.came_with_call:
+        if self.arrival is Arrival.MANY_CALLS:
             return
         data = peek(self.sock, LOOKED_AT_BYTES)
-        line, end, _ = data.partition(b"\n")
-        self.came_with_call = bool(end) and CALL_MEMBER in line
+        self.arrival = Arrival.FEW_CALLS if self.served_before else classify(data)
         # it may have waited in the kernel's backlog, too
         came_at = now - ms_since_data(self.sock) if is_first else self.accepted_at
         budget_ms = call_budget_ms(data)
@@ -99,18 +118,14 @@
         for connection in self.waiting:
             connection.look(now)
 
-    def take_next(self, only_with_call: bool) -> PendingConnection | None:
-        """Remove and return the first one that has sent a whole short call, or else the first one.
+    def next_for_place(self, at_least: Arrival) -> PendingConnection | None:
+        """Return the one that gets the next place: the first one of those on which most has come.
 
-        Returns None if there is none, or `only_with_call` is set and no call has come whole.
+        Returns None if so much has not come on any, except for those whose first calls are refused.
         """
-        candidates = [connection for connection in self.waiting if not connection.is_first_refused]
-        chosen = next((connection for connection in candidates if connection.came_with_call), None)
-        if chosen is None and candidates and not only_with_call:
-            chosen = candidates[0]
-        if chosen is not None:
-            self.waiting.remove(chosen)
-        return chosen
+        unanswered = [connection for connection in self.waiting if not connection.is_first_refused]
+        chosen = max(unanswered, key=lambda connection: connection.arrival, default=None)
+        return chosen if chosen is not None and chosen.arrival >= at_least else None
 
     def take_left(self) -> list[PendingConnection]:
         """Remove and return those whose clients have left."""
@@ -133,4 +148,4 @@
         """Return those that have waited for too long, those with short calls first."""
         now = now_ms()
         overdue = [connection for connection in self.waiting if connection.overdue_at <= now]
-        return sorted(overdue, key=lambda connection: not connection.came_with_call)
+        return sorted(overdue, key=lambda connection: connection.arrival, reverse=True)
--- a/harrieryoke/net/platform.py
+++ b/harrieryoke/net/platform.py
@@ -37,14 +37,15 @@
     TransferClients,
 )
 from .listening import wait_for_listener
-from .pending_connections import PendingConnection, PendingConnections
+from .pending_connections import Arrival, PendingConnection, PendingConnections
 from .read_turns import ReadTurns
 from .refused_connection import RefusedConnections
 
 CLIENT_SOCKETS_SHARE = 3 / 4  # of all sockets; the rest is for model hosts, the event bus and operators
-SLOW_CLIENTS_SHARE = 3 / 4  # of the places, for those whose first call had not come whole
+USUAL_CLIENTS_SHARE = 1 / 4  # of the places, that are kept for clients that send a few short calls at a time
 SMALL_RECEIVE_BUFFER_BYTES = 4 * 1024  # below which an ordinary request takes several windows
 SEGMENTS_IN_WINDOW = 4  # of a small receive buffer
+SILENT_MS = 2500.0  # of a connection without a byte; the kernel may have dropped what its client sent first
 PENDING_POLL_MS = 5.0  # between checks whether another connection may be accepted
 RELIEF_MS = 50.0  # between checks while the memory is short, or the process stops
 
@@ -196,13 +197,31 @@
             self.try_send(RelieveMemory())
 
     def has_place(self) -> bool:
-        """Return whether another connection may be served now."""
-        return len(self.clients) < self.hard_limit and self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
+        """Return whether another connection may be served now, at least one that sends a few short calls."""
+        if len(self.clients) >= self.hard_limit:
+            return False
+        return self.has_memory_for_place() or self.usual_clients() < self.hard_limit * USUAL_CLIENTS_SHARE
 
-    def is_crowded(self) -> bool:
-        """Return whether the other places are kept for connections that come with a whole short call."""
-        slow = sum(not client.came_with_call for client in self.clients)
-        return slow >= self.hard_limit * SLOW_CLIENTS_SHARE
+    def has_memory_for_place(self) -> bool:
+        """Return whether the memory suffices for a further client of any kind."""
+        return self.memory.free(Owner.CONNECTIONS) >= CONNECTION_BYTES
+
+    def usual_clients(self) -> int:
+        """Return how many clients send a few short calls at a time."""
+        now = now_ms()
+        return sum(not client.is_demanding(now) for client in self.clients)
+
+    def wanted_arrival(self) -> Arrival:
+        """Return what must have come on a connection that gets a place.
+
+        Some places are kept for clients that send a few short calls at a time.
+        """
+        if not self.has_memory_for_place():
+            return Arrival.FEW_CALLS
+        for_others = self.hard_limit * (1 - USUAL_CLIENTS_SHARE)
+        if len(self.clients) < for_others or len(self.clients) - self.usual_clients() < for_others:
+            return Arrival.NOTHING
+        return Arrival.FEW_CALLS
 
     def may_get_room(self) -> bool:
         """Return whether some client has no open call, or stands still, or only the memory is short.
@@ -349,8 +368,9 @@
         """Serve connections as far as there are places, and have others give way to the rest."""
         self.pending.look()
         while self.pending and self.has_place():
-            if (connection := self.pending.take_next(only_with_call=self.is_crowded())) is None:
+            if (connection := self.pending.next_for_place(self.wanted_arrival())) is None:
                 break
+            self.pending.take(connection)
             self.add_client(connection)
         if not self.pending:
             return
@@ -384,7 +404,8 @@
         )
         self.clients[client], client.has_sent_line = False, connection.served_before
         client.watched_until = connection.accepted_at
-        client.came_with_call = connection.came_with_call or connection.served_before
+        is_usual = connection.arrival is Arrival.FEW_CALLS
+        client.came_with_few_calls = is_usual or connection.served_before
         client.start()
         if self.stopping:
             self.close_when_idle(client, EndReason.STOPPING)
@@ -409,8 +430,10 @@
 
     def make_place(self) -> None:
         """Have a client give way to a new connection: one that has stalled, sends too much, or is idle."""
-        if not self.close_stalled_client():
-            self.ask_loud_client()
+        if self.close_stalled_client():
+            return
+        self.ask_loud_client()
+        if self.pending.next_for_place(self.wanted_arrival()) is not None:
             self.close_idle_client()
 
     def close_stalled_client(self) -> bool:
@@ -450,6 +473,10 @@
         """
         now = now_ms()
         staying = [c for c, leaving in self.clients.items() if not (leaving or c.is_in_line())]
-        idle = {c: q for c in staying if (q := c.idle_ms(now)) is not None}
-        if idle and max(idle.values()) > self.limits.client_fresh_ms:
+        idle = {c: q for c in staying if (q := c.idle_ms(now)) is not None and q > self.fresh_ms(c)}
+        if idle:
             self.close_when_idle(max(idle, key=idle.__getitem__), EndReason.PLACE)
+
+    def fresh_ms(self, client: ClientActor) -> float:
+        """Return how long a client may be idle without giving its place up."""
+        return self.limits.client_fresh_ms if client.has_sent_line else SILENT_MS
--- a/tests/test_refused_connection.py
+++ b/tests/test_refused_connection.py
@@ -12,7 +12,14 @@
 
 from harrieryoke.core.clock import now_ms
 from harrieryoke.net.connection_state import EndReason
-from harrieryoke.net.pending_connections import PendingConnection, PendingConnections
+from harrieryoke.net.pending_connections import (
+    MAX_FEW_CALLS,
+    Arrival,
+    PendingConnection,
+    PendingConnections,
+    classify,
+)
+from harrieryoke.net.platform import RELIEF_MS
 from harrieryoke.net.refused_connection import LONG_MS as LONG_REFUSAL_MS
 from harrieryoke.net.refused_connection import QUIET_MS
 
@@ -112,6 +119,55 @@
         assert pending.unanswered() == 75
 
 
+# Guards against the end of a connection whose first call the kernel has dropped, to be sent again.
+def test_connection_without_a_byte_keeps_its_place() -> None:
+    front = Front()
+    front.core.memory.resize(FEW_PLACES_BYTES)
+    with front.connect() as silent:
+        until(lambda: front.front.clients, "it has a place")
+        held = [front.connect(line(n)) for n in range(front.front.hard_limit - 1)]
+        until(lambda: len(front.core.calls) == len(held), "all places are taken")
+        gevent.sleep(2 * front.front.limits.client_fresh_ms / 1000)
+        with front.connect(line(9000)):
+            gevent.sleep(2 * RELIEF_MS / 1000)
+            silent.sendall(line(8000))
+            until(lambda: 8000 in front.core.calls, "the call has come")
+    for sock in held:
+        sock.close()
+
+
+# Guards against a crowd that sends many calls at once, and takes all places for good.
+def test_places_are_kept_for_clients_that_send_a_few_calls() -> None:
+    front = Front()
+    front.core.memory.resize(FEW_PLACES_BYTES)
+    places = front.front.hard_limit
+    crowd = [
+        front.connect(*(line(100 * n + k) for k in range(2 * MAX_FEW_CALLS))) for n in range(1, places + 1)
+    ]
+    until(lambda: len(front.front.clients) + len(front.front.pending) == places, "all are accepted")
+    assert len(front.front.clients) >= places // 2
+    with front.connect(line(9000)):
+        until(lambda: 9000 in front.core.calls, "the call has come")
+    for sock in crowd:
+        sock.close()
+
+
+# Guards against places for connections that have sent less than others, or a refusal.
+def test_connections_get_places_by_what_has_come() -> None:
+    inputs = [b"", b"{", line(1) * (MAX_FEW_CALLS + 1), line(1), line(2)]
+    pending = PendingConnections()
+    with socket.socket() as sock:
+        for data in inputs:
+            pending.add(PendingConnection(sock, repr(data), arrival=classify(data)))
+        pending.add(PendingConnection(sock, "refused", arrival=Arrival.FEW_CALLS, is_first_refused=True))
+        order: list[str] = []
+        while (connection := pending.next_for_place(Arrival.NOTHING)) is not None:
+            assert (pending.next_for_place(Arrival.FEW_CALLS) is connection) == (len(order) < 2)
+            order.append(connection.name)
+            pending.take(connection)
+    assert order == [repr(inputs[n]) for n in (3, 4, 2, 1, 0)]
+
+
 # Guards against connections that wait for a place, whose calls have no answer as the process exits.
 @pytest.mark.parametrize("is_being_refused", [False, True])
 def test_calls_of_connections_without_a_place_are_refused_before_the_process_exits(
